--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool, run as python -m bench NAME."""
--- /dev/null
+++ b/jayflow/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Links to peers, backend servers and the platform."""
--- /dev/null
+++ b/jayflow/connection/messages.py
@@ -0,0 +1,190 @@
+"""Messages between nodes, encoded as MessagePack by msgspec."""
+
+import enum
+from typing import NewType
+
+import msgspec
+
+Incarnation = NewType('Incarnation', int)
+NodeId = NewType('NodeId', str)
+Headers = list[tuple[bytes, bytes]]
+
+PART_BYTES = 64 * 1024
+WINDOW_PARTS = 4
+
+
+class Lane(enum.Enum):
+    """Separate short requests from bulk transfers on a link."""
+
+    SHORT = 's'
+    BULK = 'b'
+
+
+class AttemptState(enum.Enum):
+    """Say what a door knows of an attempt that is revoked."""
+
+    NEVER_STARTED = 'never-started'
+    RUNNING = 'running'
+    DONE = 'done'
+    FORGOTTEN = 'forgotten'
+    OTHER_INCARNATION = 'other-incarnation'
+
+
+class AttemptId(msgspec.Struct, frozen=True, array_like=True):
+    """Name one attempt: its sender's incarnation and a rising count."""
+
+    sender: Incarnation
+    count: int
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Report the load of a backend server; latency in ms."""
+
+    running: int
+    queued: int
+    slots: int
+    latency_ms: float
+    draining: bool = False
+
+
+class Start(msgspec.Struct, array_like=True, tag='S'):
+    """Ask a door to run a request; remaining time in ms."""
+
+    attempt: AttemptId
+    door: Incarnation
+    service: str
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    more: bool
+    remaining_ms: int
+    rank: int
+    queue_ms: int
+    queue_length: int
+    repeatable: bool
+    fingerprint: bytes
+    suspect: bool = False
+
+
+class BodyPart(msgspec.Struct, array_like=True, tag='B'):
+    """Carry a part of a request body; seq counts from 0."""
+
+    attempt: AttemptId
+    seq: int
+    data: bytes
+    last: bool
+
+
+class Credit(msgspec.Struct, array_like=True, tag='C'):
+    """Allow the other side to send more parts of a body."""
+
+    attempt: AttemptId
+    parts: int
+
+
+class Cancel(msgspec.Struct, array_like=True, tag='X'):
+    """Tell a door that nobody waits for the attempt any more."""
+
+    attempt: AttemptId
+
+
+class Revoke(msgspec.Struct, array_like=True, tag='V'):
+    """Ask a door never to start an attempt and to say what it knows."""
+
+    attempt: AttemptId
+    door: Incarnation
+
+
+class StatusQuery(msgspec.Struct, array_like=True, tag='Q'):
+    """Ask a node for its status."""
+
+    attempt: AttemptId
+
+
+class Refused(msgspec.Struct, array_like=True, tag='R'):
+    """Report that an attempt was refused and never will start."""
+
+    attempt: AttemptId
+    reason: str
+    load: Load
+    retry_after_ms: int = 0
+
+
+class Head(msgspec.Struct, array_like=True, tag='H'):
+    """Carry an answer's head and its first part."""
+
+    attempt: AttemptId
+    status: int
+    headers: Headers
+    data: bytes
+    last: bool
+    load: Load
+
+
+class Part(msgspec.Struct, array_like=True, tag='P'):
+    """Carry a later part of an answer; seq counts from 1."""
+
+    attempt: AttemptId
+    seq: int
+    data: bytes
+    last: bool
+
+
+class Broken(msgspec.Struct, array_like=True, tag='K'):
+    """Report that an attempt started and its answer is incomplete."""
+
+    attempt: AttemptId
+    reason: str
+    load: Load
+
+
+class Revoked(msgspec.Struct, array_like=True, tag='W'):
+    """Answer a Revoke."""
+
+    attempt: AttemptId
+    state: AttemptState
+    load: Load
+
+
+class Status(msgspec.Struct, array_like=True, tag='T'):
+    """Report a node's status, encoded as JSON."""
+
+    attempt: AttemptId
+    body: bytes
+
+
+class Crashing(msgspec.Struct, array_like=True, tag='Z'):
+    """Share one crash of a backend server and what ran in it.
+
+    Fingerprints are digests of service, route and body; remaining is the
+    time in ms that the report still counts. A report without a crash
+    clears its fingerprints.
+    """
+
+    crash: str
+    fingerprints: list[bytes]
+    remaining_ms: int
+
+
+ToDoor = Start | BodyPart | Credit | Cancel | Revoke | StatusQuery | Crashing
+ToSender = Refused | Head | Part | Broken | Revoked | Status | Credit
+
+_to_door = msgspec.msgpack.Decoder(ToDoor)
+_to_sender = msgspec.msgpack.Decoder(ToSender)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message: ToDoor | ToSender) -> bytes:
+    """Return a message as bytes."""
+    return _encoder.encode(message)
+
+
+def decode_to_door(data: bytes) -> ToDoor:
+    """Return a message for a door; msgspec.DecodeError for others."""
+    return _to_door.decode(data)
+
+
+def decode_to_sender(data: bytes) -> ToSender:
+    """Return a message for a sender; msgspec.DecodeError for others."""
+    return _to_sender.decode(data)
--- /dev/null
+++ b/jayflow/connection/platform.py
@@ -0,0 +1,281 @@
+"""Call the platform's object API: versions, conditional updates, watches.
+
+This module is the only one that knows the platform's protocol. A call
+has a deadline and draws on the process's call budget. A write whose
+answer was lost raises AmbiguousError, and its caller reads back.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import random
+import time
+from typing import NewType, Protocol, TypeVar
+import urllib.parse
+
+import anyio
+import httpcore
+import msgspec
+
+from jayflow import metrics as counting
+from jayflow.version import quantity
+
+Revision = NewType('Revision', int)
+Result = TypeVar('Result')
+
+ABSENT = Revision(0)
+BURST_S = 10.0
+BACKOFF_BASE_S = 0.1
+BACKOFF_MAX_S = 10.0
+MAX_VALUE_BYTES = 1_000_000
+
+
+class PlatformError(Exception):
+    """Report a call that failed; nothing of it took effect."""
+
+
+class UnavailableError(PlatformError):
+    """Report that the platform did not serve a call."""
+
+
+class AmbiguousError(PlatformError):
+    """Report a write that may have taken effect."""
+
+
+class ConflictError(PlatformError):
+    """Report a conditional write whose revision no longer holds."""
+
+
+class TooOldError(PlatformError):
+    """Report a watch from a revision that is no longer kept."""
+
+
+class CallBudgetError(UnavailableError):
+    """Report a call that the process's own call budget refused."""
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one object and the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+class ChangeKind(enum.Enum):
+    """Say what happened to an object."""
+
+    PUT = 'put'
+    DELETE = 'delete'
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one change; a deleted object has an empty value."""
+
+    kind: ChangeKind
+    entry: Entry
+
+
+class Listing(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the objects under a prefix as of one revision."""
+
+    entries: list[Entry]
+    revision: Revision
+
+
+class Changes(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the changes under a prefix up to one revision."""
+
+    changes: list[Change]
+    revision: Revision
+
+
+class Platform(Protocol):
+    """Name the calls that any platform offers."""
+
+    async def get(self, key: str) -> Entry | None:
+        """Return an object, or None."""
+
+    async def put(self, key: str, value: bytes, held: Revision) -> Revision:
+        """Write an object if its revision is still the one held."""
+
+    async def delete(self, key: str, held: Revision) -> None:
+        """Delete an object if its revision is still the one held."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Return the objects under a prefix."""
+
+    async def watch(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> Changes:
+        """Wait for changes after a revision."""
+
+
+class CallBudget:
+    """Allow a process so many calls a second, with a bounded burst."""
+
+    def __init__(
+        self,
+        calls_per_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._rate = calls_per_s
+        self._most = max(1.0, calls_per_s * BURST_S)
+        self._left = self._most
+        self._clock = clock
+        self._at = clock()
+
+    def take(self) -> bool:
+        """Return whether a call may be made now, and count it."""
+        now = self._clock()
+        earned = (now - self._at) * self._rate
+        self._left = min(self._most, self._left + earned)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class HttpPlatform:
+    """Call a platform over HTTP."""
+
+    def __init__(
+        self,
+        address: quantity.Address,
+        budget: CallBudget,
+        metrics: counting.Metrics,
+        deadline_s: float,
+    ) -> None:
+        self._base = f'http://{address}/v1'
+        self._budget = budget
+        self._metrics = metrics
+        self._deadline_s = deadline_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=16, keepalive_expiry=30
+        )
+
+    async def get(self, key: str) -> Entry | None:
+        """Return an object, or None."""
+        status, headers, body = await self._call('GET', _object(key))
+        if status == 404:
+            return None
+        _check(status)
+        return Entry(key, body, _revision(headers))
+
+    async def put(self, key: str, value: bytes, held: Revision) -> Revision:
+        """Write an object if its revision is still the one held."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError(f'{key} is over the limit of a value')
+        status, headers, _ = await self._write('PUT', key, held, value)
+        _check(status)
+        return _revision(headers)
+
+    async def delete(self, key: str, held: Revision) -> None:
+        """Delete an object if its revision is still the one held."""
+        status, _, _ = await self._write('DELETE', key, held, b'')
+        _check(status)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return the objects under a prefix."""
+        query = urllib.parse.urlencode({'prefix': prefix})
+        status, _, body = await self._call('GET', f'/list?{query}')
+        _check(status)
+        return msgspec.msgpack.decode(body, type=Listing)
+
+    async def watch(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> Changes:
+        """Wait for changes after a revision."""
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'wait': wait_s}
+        )
+        status, _, body = await self._call(
+            'GET', f'/watch?{query}', extra_s=wait_s
+        )
+        _check(status)
+        return msgspec.msgpack.decode(body, type=Changes)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def _write(self, method, key, held, value):
+        condition = (
+            (b'if-none-match', b'*')
+            if held == ABSENT
+            else (b'if-match', str(held).encode())
+        )
+        try:
+            answer = await self._call(
+                method, _object(key), headers=[condition], body=value
+            )
+        except CallBudgetError:
+            raise
+        except UnavailableError as exc:
+            raise AmbiguousError(str(exc)) from exc
+        if answer[0] >= 500:
+            raise AmbiguousError(f'status {answer[0]}')
+        return answer
+
+    async def _call(self, method, path, headers=(), body=b'', extra_s=0.0):
+        if not self._budget.take():
+            self._metrics.event(counting.Event.PLATFORM_BUDGET)
+            raise CallBudgetError('call budget is used up')
+        self._metrics.event(counting.Event.PLATFORM_CALL)
+        rows = [*headers, (b'content-length', str(len(body)).encode())]
+        try:
+            with anyio.fail_after(self._deadline_s + extra_s):
+                response = await self._pool.request(
+                    method, self._base + path, headers=rows, content=body
+                )
+        except (OSError, TimeoutError, *_TRANSPORT_ERRORS) as exc:
+            self._metrics.event(counting.Event.PLATFORM_FAILED)
+            raise UnavailableError(repr(exc)) from exc
+        return response.status, response.headers, response.content
+
+
+_TRANSPORT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+_ERRORS = {409: ConflictError, 410: TooOldError, 412: ConflictError}
+
+
+def _object(key: str) -> str:
+    return '/objects/' + urllib.parse.quote(key)
+
+
+def _check(status: int) -> None:
+    if status >= 400:
+        raise _ERRORS.get(status, UnavailableError)(f'status {status}')
+
+
+def _revision(headers) -> Revision:
+    for name, value in headers:
+        if name.lower() == b'etag':
+            return Revision(int(value.strip(b'"')))
+    raise UnavailableError('answer has no revision')
+
+
+def backoff_s(failures: int, rng: random.Random) -> float:
+    """Return a wait with full jitter after so many failures in a row."""
+    most = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** min(failures, 10))
+    return rng.uniform(0, most)
+
+
+async def insist(
+    call: Callable[[], Awaitable[Result]], rng: random.Random
+) -> Result:
+    """Repeat a call until the platform serves it.
+
+    For reads and for writes that read back first: a conflict is raised.
+    """
+    failures = 0
+    while True:
+        try:
+            return await call()
+        except (AmbiguousError, UnavailableError):
+            failures += 1
+            await anyio.sleep(backoff_s(failures, rng))
--- /dev/null
+++ b/jayflow/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/jayflow/process/__init__.py
@@ -0,0 +1,1 @@
+"""State and daemons that live for one process."""
--- /dev/null
+++ b/jayflow/process/node.py
@@ -0,0 +1,350 @@
+"""Run one node: the process beside one backend server."""
+
+from collections.abc import Callable
+import contextlib
+import random
+import secrets
+import signal
+import time
+from typing import Self
+
+import anyio
+import msgspec
+import zmq
+
+from jayflow.connection import http_server
+from jayflow.connection import links as peers
+from jayflow.connection import member as members
+from jayflow.connection import messages
+from jayflow.connection import platform as api
+from jayflow.connection import sockets
+from jayflow import logs
+from jayflow import metrics as counting
+from jayflow.process import announcing
+from jayflow.process import directory as directories
+from jayflow.process import settings as process_settings
+from jayflow.process import status
+from jayflow.request import dispatch
+from jayflow.request import door as doors
+from jayflow.request import exchange as exchanges
+from jayflow.request import ingress
+from jayflow.request import outcome
+from jayflow.request import problem
+from jayflow.request import quarantine
+from jayflow.request import routing
+from jayflow.version import objects
+from jayflow.version import snapshot
+
+Reason = outcome.Reason
+INCARNATION_BITS = 62
+HOUSEKEEPING_S = 5.0
+LEAVE_GRACE_S = 1.0
+CLOSE_LIMIT_S = 10.0
+
+
+class _LocalWire:
+    """Carry messages to the door of the same node."""
+
+    def __init__(
+        self, door: doors.Door, deliver: Callable[[messages.ToSender], None]
+    ) -> None:
+        self._door = door
+        self._deliver = deliver
+
+    def send(self, message: messages.ToDoor) -> None:
+        """Hand a message to the door at once."""
+        self._door.handle(message, self._deliver)
+
+    async def wait_ready(self) -> None:
+        """Return at once."""
+
+
+class Node:
+    """Join the parts of one node process."""
+
+    def __init__(self, cfg: process_settings.Settings) -> None:
+        self._cfg = cfg
+        self._log = logs.get(logs.Part.NODE)
+        self._metrics = counting.Metrics.from_address(cfg.statsd)
+        self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
+        self.incarnation = messages.Incarnation(
+            secrets.randbits(INCARNATION_BITS)
+        )
+        self._directory = directories.Directory(cfg.name, cfg.data_centre)
+        self._holder = directories.VersionHolder(
+            self._metrics, self._use_version
+        )
+        self._door = doors.Door(self.incarnation, self._metrics)
+        self._exchanges = exchanges.Exchanges(self.incarnation, self._metrics)
+        self._local = _LocalWire(self._door, self._exchanges.deliver)
+        self._context = zmq.Context()
+        self._links = peers.Links(
+            self._context,
+            self.incarnation,
+            self._receive_answer,
+            self._exchanges.lose,
+        )
+        self._ingress = ingress.Ingress(
+            dispatch.Dispatcher(
+                self._exchanges,
+                self._directory.views_of,
+                self._wire_to,
+                self._metrics,
+                self._rng,
+            ),
+            lambda: self._holder.current,
+            self._metrics,
+        )
+        self._platform = api.HttpPlatform(
+            cfg.platform,
+            api.CallBudget(cfg.calls_per_s),
+            self._metrics,
+            cfg.call_deadline,
+        )
+        self._follower = directories.Follower(
+            self._platform,
+            self._directory,
+            self._holder,
+            self._metrics,
+            self._rng,
+        )
+        self._registrar = directories.Registrar(
+            self._platform,
+            members.PREFIX + cfg.name,
+            self._own_member,
+            self._rng,
+        )
+        self._door.on_change = self._own_changed
+        self._door.spread = self._spread_crash
+        self._door.quarantine_s = self._quarantine_s
+        self._listener: sockets.Listener | None = None
+
+    @classmethod
+    def from_settings(cls, cfg: process_settings.Settings) -> Self:
+        """Return a node that has not started."""
+        return cls(cfg)
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then stop gracefully."""
+        self._listener = sockets.Listener(
+            self._context,
+            f'tcp://{self._cfg.peer}',
+            self._receive_request,
+        )
+        callers = http_server.create(
+            self._ingress, *self._cfg.http, self._bad_request
+        )
+        announce_app = announcing.App(self._cfg.name, self._door, self._status)
+        announced = http_server.create(
+            announce_app, *self._cfg.announce, self._bad_request
+        )
+        async with anyio.create_task_group() as tasks:
+            for part in (
+                self._door.run,
+                self._follower.run,
+                self._registrar.run,
+                self._metrics.run,
+                self._run_housekeeping,
+            ):
+                tasks.start_soon(part)
+            tasks.start_soon(callers.serve)
+            tasks.start_soon(announced.serve)
+            self._log.info(
+                'Node started.',
+                node=self._cfg.name,
+                incarnation=self.incarnation,
+                http=str(self._cfg.http),
+            )
+            await self._wait_stop(callers)
+            announced.should_exit = True
+            tasks.cancel_scope.cancel()
+        self._close()
+        self._log.info('Node stopped.', node=self._cfg.name)
+
+    async def _wait_stop(self, callers) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            await anext(signals)
+            self._log.info('Node is stopping.', busy=self._door.busy)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    self._stop_gracefully, callers, tasks.cancel_scope
+                )
+                with anyio.move_on_after(self._cfg.stop_limit):
+                    await anext(signals)
+                cut = self._door.busy + len(self._exchanges)
+                self._log.warning('Stop was forced.', cut=cut)
+                tasks.cancel_scope.cancel()
+
+    async def _stop_gracefully(
+        self, callers, scope: anyio.CancelScope
+    ) -> None:
+        self._ingress.is_stopping = True
+        self._door.stop()
+        with anyio.move_on_after(self._cfg.call_deadline):
+            await self._registrar.write()
+        await anyio.sleep(LEAVE_GRACE_S)
+        await self._door.wait_idle()
+        callers.should_exit = True
+        while callers.server_state.connections or len(self._exchanges):
+            await anyio.sleep(doors.TICK_S)
+        scope.cancel()
+
+    def _close(self) -> None:
+        self._links.close()
+        if self._listener is not None:
+            self._listener.close()
+        self._context.destroy(linger=0)
+        self._metrics.flush()
+
+    async def _run_housekeeping(self) -> None:
+        while True:
+            await anyio.sleep(HOUSEKEEPING_S)
+            self._links.close_idle(lambda link: False)
+
+    def _wire_to(
+        self, view: routing.View, lane: messages.Lane
+    ) -> exchanges.Wire:
+        if view.member.incarnation == self.incarnation:
+            return self._local
+        return self._links.to(view.member, lane)
+
+    def _receive_request(self, peer: sockets.RoutingId, data: bytes) -> None:
+        try:
+            message = messages.decode_to_door(data)
+        except msgspec.DecodeError:
+            self._metrics.refused(Reason.GARBAGE_FRAME)
+            return
+
+        def reply(answer: messages.ToSender) -> None:
+            try:
+                self._listener.send(peer, answer)
+            except sockets.LinkDownError:
+                self._metrics.event(counting.Event.REPLY_DROPPED)
+
+        if isinstance(message, messages.StatusQuery):
+            reply(messages.Status(message.attempt, self._status()))
+        else:
+            self._door.handle(message, reply)
+
+    def _receive_answer(self, data: bytes) -> None:
+        try:
+            message = messages.decode_to_sender(data)
+        except msgspec.DecodeError:
+            self._metrics.refused(Reason.GARBAGE_FRAME)
+            return
+        self._exchanges.deliver(message)
+
+    def _bad_request(self, is_too_large: bool):
+        reason = Reason.BAD_REQUEST
+        if is_too_large:
+            reason = Reason.HEADERS_TOO_LARGE
+        self._metrics.refused(reason)
+        failure = outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
+        document = problem.Problem.from_failure(failure)
+        body = document.body()
+        return document.status, document.headers(body), body
+
+    def _use_version(self, version: snapshot.Version) -> None:
+        self._directory.use(version.objects)
+
+    def _quarantine_s(self, service: objects.ServiceName) -> float:
+        whole = self._holder.current.objects
+        if service not in whole.service:
+            return objects.DEFAULT_QUARANTINE_S
+        return whole.policy_of(service).quarantine
+
+    def _spread_crash(self, report: messages.Crashing) -> None:
+        said = self._door.announced
+        services = said.services if said else ()
+        sent_to = {self._cfg.name}
+        for service in services:
+            for view in self._directory.views_of(service):
+                if view.member.node in sent_to:
+                    continue
+                sent_to.add(view.member.node)
+                link = self._links.to(view.member, messages.Lane.SHORT)
+                with contextlib.suppress(sockets.LinkDownError):
+                    link.send(report)
+
+    def _own_member(self) -> members.Member | None:
+        said = self._door.announced
+        if said is None or self._door.is_stopping:
+            return None
+        return members.Member(
+            self._cfg.name,
+            self.incarnation,
+            self._cfg.data_centre,
+            self._cfg.peer.host,
+            self._cfg.peer.port,
+            said.services,
+            said.limit,
+            said.draining,
+            said.cold_start_s,
+        )
+
+    def _own_changed(self) -> None:
+        member = self._own_member()
+        if member is None:
+            self._directory.remove(self._cfg.name)
+        else:
+            self._directory.put(member)
+        self._registrar.notify()
+
+    def _status(self) -> bytes:
+        now = time.monotonic()
+        load = self._door.load()
+        said = self._door.announced
+        heard_at = self._follower.heard_at
+        standing = quarantine.Standing
+        return msgspec.json.encode(
+            status.NodeStatus(
+                node=self._cfg.name,
+                incarnation=self.incarnation,
+                data_centre=self._cfg.data_centre,
+                version=self._holder.current.number,
+                services=said.services if said else (),
+                slots=load.slots,
+                running=load.running,
+                queued=load.queued,
+                draining=load.draining,
+                stopping=self._door.is_stopping,
+                suspects=self._door.quarantine.count(standing.SUSPECT, now),
+                quarantined=self._door.quarantine.count(
+                    standing.CONVICTED, now
+                ),
+                platform_age_s=now - heard_at if heard_at >= 0 else None,
+                members=tuple(
+                    self._member_status(member, now)
+                    for member in self._directory.known_members()
+                ),
+                counters=dict(self._metrics.totals),
+            )
+        )
+
+    def _member_status(
+        self, member: members.Member, now: float
+    ) -> status.MemberStatus:
+        view = self._directory.view(member.node)
+        age_s = now - view.load_at if view.load else None
+        return status.MemberStatus(
+            member.node,
+            member.data_centre,
+            member.services,
+            member.draining,
+            view.failures,
+            max(0.0, view.cooldown_until - now),
+            age_s,
+        )
+
+
+async def serve_until_signal(server) -> None:
+    """Serve one HTTP server until a signal asks to stop."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            await anext(signals)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/jayflow/process/settings.py
@@ -0,0 +1,148 @@
+"""Read the settings of one node process, checked as a whole."""
+
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Self
+
+from jayflow.connection import messages
+from jayflow import logs
+from jayflow.version import findings as found
+from jayflow.version import inifile
+from jayflow.version import objects
+from jayflow.version import quantity
+
+DEFAULT_STOP_LIMIT_S = 600.0
+DEFAULT_CALL_DEADLINE_S = 2.0
+DEFAULT_CALLS_PER_S = 2
+Field = inifile.Field
+
+FIELDS: dict[str, tuple[Field, ...]] = {
+    'node': (
+        Field('name', quantity.name, '', required=True),
+        Field('data-centre', quantity.name, '', required=True),
+        Field('http', quantity.address, required=True),
+        Field('peer', quantity.address, required=True),
+        Field('announce', quantity.address, required=True),
+        Field('stop-limit', quantity.seconds, DEFAULT_STOP_LIMIT_S),
+    ),
+    'platform': (
+        Field('address', quantity.address, required=True),
+        Field('call-deadline', quantity.seconds, DEFAULT_CALL_DEADLINE_S),
+        Field('calls-per-second', quantity.count, DEFAULT_CALLS_PER_S),
+    ),
+    'logs': (
+        Field('format', quantity.choice(logs.Format), logs.Format.CONSOLE),
+        Field('level', quantity.choice(logs.Level), logs.Level.INFO),
+    ),
+    'metrics': (Field('statsd', quantity.address),),
+}
+REQUIRED_SECTIONS = ('node', 'platform')
+_ADDRESS_KEYS = ('http', 'peer', 'announce')
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Hold the settings of a node; durations are seconds."""
+
+    name: messages.NodeId
+    data_centre: objects.DataCentreName
+    http: quantity.Address
+    peer: quantity.Address
+    announce: quantity.Address
+    stop_limit: float
+    platform: quantity.Address
+    call_deadline: float
+    calls_per_s: int
+    log_format: logs.Format
+    log_level: logs.Level
+    statsd: quantity.Address | None
+
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> Self:
+        """Return the settings; an ExceptionGroup holds every fault."""
+        return cls.from_text(str(path), path.read_text(encoding='utf-8'))
+
+    @classmethod
+    def from_text(cls, file: str, text: str) -> Self:
+        """Return the settings of a text, as from_file does."""
+        findings = found.Findings()
+        sections = {
+            section.title: section
+            for section in inifile.parse(file, text, findings)
+        }
+        values = {
+            name: _section(file, name, sections, findings).read(
+                fields, findings
+            )
+            for name, fields in FIELDS.items()
+        }
+        for title, section in sections.items():
+            if title not in FIELDS:
+                findings.add(section.place, 'unknown section')
+        if 'node' in sections:
+            _check_addresses(sections['node'], values['node'], findings)
+        findings.fail_if_any('settings')
+        return cls._from_values(values)
+
+    @classmethod
+    def _from_values(cls, values: dict[str, dict]) -> Self:
+        node, platform = values['node'], values['platform']
+        return cls(
+            name=node['name'],
+            data_centre=node['data-centre'],
+            http=node['http'],
+            peer=node['peer'],
+            announce=node['announce'],
+            stop_limit=node['stop-limit'],
+            platform=platform['address'],
+            call_deadline=platform['call-deadline'],
+            calls_per_s=platform['calls-per-second'],
+            log_format=values['logs']['format'],
+            log_level=values['logs']['level'],
+            statsd=values['metrics']['statsd'],
+        )
+
+
+def _section(
+    file: str,
+    name: str,
+    sections: dict[str, inifile.Section],
+    findings: found.Findings,
+) -> inifile.Section:
+    section = sections.get(name)
+    if section is not None:
+        return section
+    place = found.Place(file, 1, name)
+    if name in REQUIRED_SECTIONS:
+        findings.add(place, 'missing section')
+        defaults = {field.key: '' for field in FIELDS[name]}
+        return inifile.Section(name, place, {}, dict.fromkeys(defaults, place))
+    return inifile.Section(name, place, {}, {})
+
+
+def _check_addresses(
+    section: inifile.Section,
+    values: dict,
+    findings: found.Findings,
+) -> None:
+    announce = values['announce']
+    if announce is not None and not _is_loopback(announce.host):
+        place = section.place_of('announce')
+        findings.add(place, 'announce: must be a loopback address')
+    used: dict[quantity.Address, str] = {}
+    for key in _ADDRESS_KEYS:
+        address = values[key]
+        if address is None:
+            continue
+        if address in used:
+            text = f'{key}: the same address as {used[address]}'
+            findings.add(section.place_of(key), text)
+        used[address] = key
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
--- /dev/null
+++ b/jayflow/request/__init__.py
@@ -0,0 +1,1 @@
+"""Values and state that live for one request."""
--- /dev/null
+++ b/jayflow/request/admission.py
@@ -0,0 +1,140 @@
+"""Admit requests to the slots of one backend server.
+
+The queue is short and bounded in time. It serves interactive before
+internal before bulk, and no service or class can take every slot.
+"""
+
+import dataclasses
+from typing import Generic, TypeVar
+
+from jayflow.request import outcome
+from jayflow.version import objects
+
+Reason = outcome.Reason
+Item = TypeVar('Item')
+
+RANKS = tuple(objects.RequestClass)
+SLOT_SHARE = {
+    objects.RequestClass.INTERACTIVE: 1.0,
+    objects.RequestClass.INTERNAL: 0.75,
+    objects.RequestClass.BULK: 0.5,
+}
+SERVICE_SLOT_SHARE = 0.75
+LATENCY_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting(Generic[Item]):
+    """Hold a request that waits for a slot; times are monotonic s."""
+
+    item: Item
+    service: str
+    rank: int
+    until: float
+    reason: Reason
+    alone: bool = False
+
+
+class Admission(Generic[Item]):
+    """Count the slots taken and hold the short queue."""
+
+    def __init__(self, slots: int, services: int = 1) -> None:
+        self.slots = slots
+        self._services = services
+        self._queue: list[Waiting[Item]] = []
+        self._by_service: dict[str, int] = {}
+        self._by_rank = [0] * len(RANKS)
+        self._is_alone = False
+        self.running = 0
+        self.latency_s = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def resize(self, slots: int, services: int) -> None:
+        """Set the slots and the number of services that share them."""
+        self.slots = slots
+        self._services = services
+
+    def try_start(self, service: str, rank: int, alone: bool = False) -> bool:
+        """Take a slot unless one is missing or others wait before.
+
+        A request that wants to be alone takes the whole server.
+        """
+        if any(each.alone or each.rank <= rank for each in self._queue):
+            return False
+        return self._take(service, rank, alone)
+
+    def enqueue(
+        self, waiting: Waiting[Item], length: int, now: float
+    ) -> Reason | None:
+        """Add a request to the queue, or return why it is refused."""
+        ahead = sum(each.rank <= waiting.rank for each in self._queue)
+        if not self.slots or ahead >= length:
+            return Reason.QUEUE_FULL
+        if waiting.alone:
+            return self._append(waiting)
+        wait_s = (ahead + 1) * self.latency_s / self.slots
+        if now + wait_s > waiting.until:
+            return waiting.reason
+        return self._append(waiting)
+
+    def finish(self, service: str, rank: int, elapsed_s: float) -> None:
+        """Give a slot back and learn the time that the request took."""
+        self.running -= 1
+        self._is_alone = False
+        self._by_rank[rank] -= 1
+        self._by_service[service] -= 1
+        if not self._by_service[service]:
+            del self._by_service[service]
+        change = elapsed_s - self.latency_s
+        weight = LATENCY_WEIGHT if self.latency_s else 1.0
+        self.latency_s += change * weight
+
+    def next_waiting(self) -> Waiting[Item] | None:
+        """Take a slot for the first waiting request that may have one."""
+        for index, waiting in enumerate(self._queue):
+            if self._take(waiting.service, waiting.rank, waiting.alone):
+                return self._queue.pop(index)
+            if waiting.alone:
+                return None
+        return None
+
+    def expired(self, now: float) -> list[Waiting[Item]]:
+        """Remove and return the requests that waited for too long."""
+        late = [each for each in self._queue if each.until <= now]
+        if late:
+            self._queue = [each for each in self._queue if each.until > now]
+        return late
+
+    def remove(self, item: Item) -> bool:
+        """Remove a waiting request; return whether it was there."""
+        before = len(self._queue)
+        self._queue = [each for each in self._queue if each.item != item]
+        return len(self._queue) < before
+
+    def _append(self, waiting: Waiting[Item]) -> None:
+        self._queue.append(waiting)
+        self._queue.sort(key=lambda each: (not each.alone, each.rank))
+
+    def _take(self, service: str, rank: int, alone: bool) -> bool:
+        if self._is_alone or self.running >= self.slots:
+            return False
+        if alone and self.running:
+            return False
+        share = SLOT_SHARE[RANKS[rank]]
+        if self._by_rank[rank] >= max(1, int(self.slots * share)):
+            return False
+        taken = self._by_service.get(service, 0)
+        if self._services > 1 and taken >= self._service_limit():
+            return False
+        self.running += 1
+        self._is_alone = alone
+        self._by_rank[rank] += 1
+        self._by_service[service] = taken + 1
+        return True
+
+    def _service_limit(self) -> int:
+        return max(1, int(self.slots * SERVICE_SLOT_SHARE))
--- /dev/null
+++ b/jayflow/request/door.py
@@ -0,0 +1,442 @@
+"""Run requests on the backend server beside the node.
+
+The door is the only way in, so it knows without delay how many slots are
+taken, and it can prove that an attempt did not start.
+"""
+
+from collections.abc import Callable
+import secrets
+import time
+
+import anyio
+import anyio.abc
+
+from jayflow.connection import announcement
+from jayflow.connection import messages
+from jayflow.connection import server
+from jayflow import logs
+from jayflow import metrics as counting
+from jayflow.request import admission
+from jayflow.request import ledger as attempts
+from jayflow.request import outcome
+from jayflow.request import quarantine
+from jayflow.request import serving
+from jayflow.version import objects
+
+Reason = outcome.Reason
+Reply = Callable[[messages.ToSender], None]
+Spread = Callable[[messages.Crashing], None]
+
+ANNOUNCEMENT_TTL_S = 3.0
+RENEW_S = 1.0
+TICK_S = 0.01
+SUSPECT_WAIT_S = 0.5
+COLD_SLOT_SHARE = 0.25
+CRASH_PROBE_S = 0.02
+CRASH_PROBES = 3
+CRASH_SPREAD_S = 0.05
+CRASH_WINDOW_S = 0.5
+_VERDICT_REASONS = {
+    attempts.Verdict.DUPLICATE: Reason.DUPLICATE_ATTEMPT,
+    attempts.Verdict.REVOKED: Reason.REVOKED,
+    attempts.Verdict.FORGOTTEN: Reason.FORGOTTEN,
+    attempts.Verdict.OTHER_INCARNATION: Reason.PEER_INCARNATION,
+}
+
+
+class Door:
+    """Admit, run and answer attempts; hold the state of one server."""
+
+    def __init__(
+        self,
+        incarnation: messages.Incarnation,
+        metrics: counting.Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.incarnation = incarnation
+        self.quarantine = quarantine.Quarantine()
+        self.on_change: Callable[[], None] = lambda: None
+        self.spread: Spread = lambda report: None
+        self.quarantine_s: Callable[[objects.ServiceName], float] = (
+            lambda service: objects.DEFAULT_QUARANTINE_S
+        )
+        self.is_stopping = False
+        self._metrics = metrics
+        self._clock = clock
+        self._log = logs.get(logs.Part.DOOR)
+        self._ledger = attempts.Ledger(incarnation)
+        self._admission: admission.Admission = admission.Admission(0)
+        self._announced: announcement.Announcement | None = None
+        self._announced_at = 0.0
+        self._warm_since = 0.0
+        self._pool: server.Pool | None = None
+        self._jobs: dict[messages.AttemptId, serving.Job] = {}
+        self._running: set[messages.AttemptId] = set()
+        self._crash: frozenset[quarantine.Fingerprint] = frozenset()
+        self._crash_until = 0.0
+        self._is_crash_reported = False
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def announced(self) -> announcement.Announcement | None:
+        """Return the announcement in force, if any."""
+        return self._announced
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether new work is refused."""
+        return self.is_stopping or bool(
+            self._announced and self._announced.draining
+        )
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests run or wait."""
+        return self._admission.running + self._admission.queued
+
+    def load(self) -> messages.Load:
+        """Return the load as it is now."""
+        return messages.Load(
+            self._admission.running,
+            self._admission.queued,
+            self._admission.slots,
+            round(self._admission.latency_s * 1000, 2),
+            self.is_draining,
+        )
+
+    def announce(self, said: announcement.Announcement) -> None:
+        """Take an announcement from the backend server."""
+        before, now = self._announced, self._clock()
+        self._announced, self._announced_at = said, now
+        if before is None or before.instance != said.instance:
+            self._warm_since = now
+            self._log.info(
+                'Server announced.', instance=said.instance, port=said.port
+            )
+        if self._pool is None or (self._pool.host, self._pool.port) != (
+            said.host,
+            said.port,
+        ):
+            self._replace_pool(server.Pool(said.host, said.port))
+        self._resize(now)
+        if before != said:
+            self.on_change()
+        if said.draining:
+            self._refuse_waiting(Reason.DRAINING)
+
+    def withdraw(self) -> None:
+        """Forget the backend server; new work is refused."""
+        if self._announced is None:
+            return
+        self._announced = None
+        self._admission.resize(0, 1)
+        self._replace_pool(None)
+        self._refuse_waiting(Reason.NOT_SERVED_HERE)
+        self.on_change()
+
+    def stop(self) -> None:
+        """Refuse new work from now on; what runs goes on."""
+        self.is_stopping = True
+        self._refuse_waiting(Reason.NODE_STOPPING)
+        self.on_change()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs or waits."""
+        while self._jobs:
+            await anyio.sleep(TICK_S)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            while True:
+                await anyio.sleep(TICK_S)
+                self._tick(self._clock())
+
+    def handle(self, message: messages.ToDoor, reply: Reply) -> None:
+        """Take one message from a sender."""
+        match message:
+            case messages.Start():
+                self._handle_start(message, reply)
+            case messages.Revoke(attempt, incarnation):
+                self._handle_revoke(attempt, incarnation, reply)
+            case messages.Cancel(attempt):
+                self._handle_cancel(attempt)
+            case messages.Credit(attempt, parts):
+                if job := self._jobs.get(attempt):
+                    job.add_credit(parts)
+            case messages.BodyPart(attempt):
+                if job := self._jobs.get(attempt):
+                    job.add_body(message)
+            case messages.Crashing():
+                self.learn_crash(message)
+
+    def learn_crash(self, report: messages.Crashing) -> None:
+        """Take a report of a crash, or of a cleared suspect."""
+        now = self._clock()
+        found = [quarantine.Fingerprint(each) for each in report.fingerprints]
+        if not report.crash:
+            for each in found:
+                self.quarantine.clear(each)
+        elif len(found) == 1 and report.remaining_ms:
+            until = now + report.remaining_ms / 1000
+            self.quarantine.convict(found[0], until)
+        else:
+            self.quarantine.suspect(found, now)
+
+    def _handle_start(self, start: messages.Start, reply: Reply) -> None:
+        verdict = self._ledger.admit(start.attempt, start.door)
+        if verdict is attempts.Verdict.DUPLICATE:
+            self._metrics.refused(Reason.DUPLICATE_ATTEMPT)
+            return
+        if verdict is not attempts.Verdict.NEW:
+            self._send_refusal(start, _VERDICT_REASONS[verdict], reply)
+            return
+        now = self._clock()
+        reason = self._reason_to_refuse(start, now)
+        if reason is not None:
+            self._refuse(start, reason, reply)
+            return
+        job = serving.Job(start, reply, now)
+        standing = self.quarantine.standing(start.fingerprint, now)
+        job.is_alone = bool(start.fingerprint) and (
+            start.suspect or standing is quarantine.Standing.SUSPECT
+        )
+        self._jobs[start.attempt] = job
+        if self._admission.try_start(start.service, start.rank, job.is_alone):
+            self._tasks.start_soon(self._serve, job)
+        else:
+            self._enqueue(job, now)
+
+    def _reason_to_refuse(
+        self, start: messages.Start, now: float
+    ) -> Reason | None:
+        standing = self.quarantine.standing(start.fingerprint, now)
+        if start.fingerprint and standing is quarantine.Standing.CONVICTED:
+            return Reason.QUARANTINED
+        if self.is_stopping:
+            return Reason.NODE_STOPPING
+        if self._announced is None:
+            return Reason.NOT_SERVED_HERE
+        if self._announced.draining:
+            return Reason.DRAINING
+        if start.service not in self._announced.services:
+            return Reason.NOT_SERVED_HERE
+        if start.remaining_ms <= 0:
+            return Reason.DEADLINE
+        return None
+
+    def _enqueue(self, job: serving.Job, now: float) -> None:
+        start = job.start
+        wait_s = SUSPECT_WAIT_S if job.is_alone else start.queue_ms / 1000
+        is_deadline = start.remaining_ms / 1000 < wait_s
+        waiting = admission.Waiting(
+            start.attempt,
+            start.service,
+            start.rank,
+            now + min(wait_s, start.remaining_ms / 1000),
+            Reason.DEADLINE if is_deadline else Reason.QUEUE_TIME,
+            job.is_alone,
+        )
+        reason = self._admission.enqueue(waiting, start.queue_length, now)
+        if reason is not None:
+            del self._jobs[start.attempt]
+            self._refuse(start, reason, job.reply)
+
+    def _handle_revoke(self, attempt, incarnation, reply: Reply) -> None:
+        now = self._clock()
+        state = self._ledger.revoke(attempt, incarnation, now)
+        is_unstarted = state is messages.AttemptState.NEVER_STARTED
+        if is_unstarted and self._admission.remove(attempt):
+            del self._jobs[attempt]
+        reply(messages.Revoked(attempt, state, self.load()))
+
+    def _handle_cancel(self, attempt: messages.AttemptId) -> None:
+        job = self._jobs.get(attempt)
+        if job is None:
+            return
+        if self._admission.remove(attempt):
+            del self._jobs[attempt]
+            self._refuse(job.start, Reason.CANCELLED, job.reply)
+        else:
+            job.cancel(Reason.CANCELLED)
+
+    async def _serve(self, job: serving.Job) -> None:
+        start, begun = job.start, self._clock()
+        try:
+            with anyio.CancelScope() as job.scope:
+                await self._serve_started(job)
+        finally:
+            now = self._clock()
+            self._running.discard(start.attempt)
+            self._jobs.pop(start.attempt, None)
+            if job.has_started:
+                self._ledger.finish(start.attempt, now)
+            elapsed_s = (job.head_at or now) - begun
+            self._admission.finish(start.service, start.rank, elapsed_s)
+            self._start_waiting()
+        if job.cancelled is not None and not job.is_closed:
+            job.end(messages.Broken, job.cancelled, self.load())
+
+    async def _serve_started(self, job: serving.Job) -> None:
+        start = job.start
+        try:
+            conn = await self._take_connection(job)
+        except server.ServerError:
+            self._refuse(start, Reason.SERVER_UNREACHABLE, job.reply)
+            job.is_closed = True
+            return
+        if not self._ledger.start(start.attempt):
+            self._pool_of(conn).give(conn)
+            job.is_closed = True
+            return
+        job.has_started = True
+        self._running.add(start.attempt)
+        try:
+            await self._exchange(job, conn)
+        except server.ServerError as exc:
+            await self._fail(job, exc)
+        finally:
+            self._pool_of(conn).give(conn)
+
+    async def _exchange(self, job: serving.Job, conn) -> None:
+        try:
+            await job.exchange(conn, self.load)
+        except server.ServerError:
+            if not (job.start.repeatable and job.may_resend):
+                raise
+            conn.close()
+            conn = await self._pool_of(conn).open()
+            try:
+                await job.exchange(conn, self.load)
+            finally:
+                self._pool_of(conn).give(conn)
+        if job.is_alone:
+            self._clear(job.start)
+
+    async def _take_connection(self, job: serving.Job) -> server.Connection:
+        if self._pool is None:
+            raise server.ServerError(server.Fault.REFUSED, sent=False)
+        conn = await self._pool.take(job.start.repeatable)
+        job.is_reused = conn.has_served
+        return conn
+
+    def _pool_of(self, conn: server.Connection) -> server.Pool:
+        return self._pool or server.Pool(*conn.peer)
+
+    async def _fail(self, job: serving.Job, exc: server.ServerError) -> None:
+        reason = Reason.SERVER_BROKEN
+        if exc.fault is server.Fault.CLOSED and not job.head_at:
+            beside = self._open_crash()
+            if await self._is_server_gone():
+                reason = Reason.SERVER_CRASHED
+                self._report_crash(job, beside)
+                await anyio.sleep(CRASH_SPREAD_S)
+        self._metrics.refused(reason)
+        job.end(messages.Broken, reason, self.load())
+
+    def _open_crash(self) -> frozenset[quarantine.Fingerprint]:
+        now = self._clock()
+        if now >= self._crash_until:
+            self._crash_until = now + CRASH_WINDOW_S
+            self._is_crash_reported = False
+            self._crash = frozenset(
+                quarantine.Fingerprint(self._jobs[each].start.fingerprint)
+                for each in self._running
+                if each in self._jobs and self._jobs[each].start.fingerprint
+            )
+        return self._crash
+
+    async def _is_server_gone(self) -> bool:
+        for _ in range(CRASH_PROBES):
+            if self._pool is None:
+                return True
+            try:
+                conn = await self._pool.open()
+            except server.ServerError:
+                return True
+            conn.close()
+            await anyio.sleep(CRASH_PROBE_S)
+        return False
+
+    def _report_crash(self, job: serving.Job, beside) -> None:
+        if self._is_crash_reported:
+            return
+        self._is_crash_reported = True
+        service = objects.ServiceName(job.start.service)
+        remaining_s = self.quarantine_s(service) if job.is_alone else 0
+        report = messages.Crashing(
+            secrets.token_hex(8), list(beside), int(remaining_s * 1000)
+        )
+        self._metrics.event(counting.Event.CRASH)
+        self._log.warning(
+            'Server crashed.', beside=len(beside), alone=job.is_alone
+        )
+        self.learn_crash(report)
+        self.spread(report)
+
+    def _clear(self, start: messages.Start) -> None:
+        report = messages.Crashing('', [start.fingerprint], 0)
+        self.learn_crash(report)
+        self.spread(report)
+
+    def _start_waiting(self) -> None:
+        while waiting := self._admission.next_waiting():
+            job = self._jobs.get(waiting.item)
+            self._tasks.start_soon(self._serve, job)
+
+    def _refuse(
+        self, start: messages.Start, reason: Reason, reply: Reply
+    ) -> None:
+        self._ledger.refuse(start.attempt, self._clock())
+        self._send_refusal(start, reason, reply)
+
+    def _send_refusal(
+        self, start: messages.Start, reason: Reason, reply: Reply
+    ) -> None:
+        self._metrics.refused(reason)
+        reply(messages.Refused(start.attempt, reason.value, self.load()))
+
+    def _refuse_waiting(self, reason: Reason) -> None:
+        for waiting in self._admission.expired(float('inf')):
+            job = self._jobs.pop(waiting.item)
+            self._refuse(job.start, reason, job.reply)
+
+    def _replace_pool(self, pool: server.Pool | None) -> None:
+        if self._pool is not None:
+            self._pool.close()
+        self._pool = pool
+
+    def _resize(self, now: float) -> None:
+        said = self._announced
+        slots = effective_slots(
+            said.limit, now - self._warm_since, said.cold_start_s
+        )
+        self._admission.resize(slots, len(said.services))
+
+    def _tick(self, now: float) -> None:
+        for waiting in self._admission.expired(now):
+            job = self._jobs.pop(waiting.item)
+            self._refuse(job.start, waiting.reason, job.reply)
+        for job in list(self._jobs.values()):
+            if job.is_overdue(now):
+                job.cancel(Reason.DEADLINE)
+        self._ledger.expire(now)
+        self.quarantine.expire(now)
+        if self._announced is None:
+            return
+        if now - self._announced_at > ANNOUNCEMENT_TTL_S:
+            self._metrics.event(counting.Event.SERVER_LAPSED)
+            self._log.warning('Server announcement lapsed.')
+            self.withdraw()
+            return
+        if self._announced.cold_start_s:
+            self._resize(now)
+            self._start_waiting()
+
+
+def effective_slots(limit: int, age_s: float, cold_start_s: float) -> int:
+    """Return the slots of a server that is age_s into its cold start."""
+    if age_s >= cold_start_s:
+        return limit
+    ramp = COLD_SLOT_SHARE + (1 - COLD_SLOT_SHARE) * age_s / cold_start_s
+    return max(1, int(limit * ramp))
--- /dev/null
+++ b/jayflow/request/exchange.py
@@ -0,0 +1,88 @@
+"""Hold a sender's open attempts and hand each its messages."""
+
+import collections
+from typing import Protocol
+
+import anyio
+
+from jayflow.connection import messages
+from jayflow import metrics as counting
+
+
+class Wire(Protocol):
+    """Carry messages to one door; LinkDownError means never sent."""
+
+    def send(self, message: messages.ToDoor) -> None:
+        """Send without waiting."""
+
+    async def wait_ready(self) -> None:
+        """Wait until a message can be sent."""
+
+
+class LinkLost:
+    """Tell an exchange that its link was cut and messages may be lost."""
+
+
+class Exchange:
+    """Receive the messages of one attempt."""
+
+    def __init__(self, attempt: messages.AttemptId, wire: Wire) -> None:
+        self.attempt = attempt
+        self.wire = wire
+        self._messages: collections.deque = collections.deque()
+        self._arrived = anyio.Event()
+
+    def deliver(self, message: messages.ToSender | LinkLost) -> None:
+        """Add a message; never waits."""
+        self._messages.append(message)
+        self._arrived.set()
+
+    async def next(self, timeout_s: float):
+        """Return the next message, or None when the time is over."""
+        with anyio.move_on_after(timeout_s):
+            while not self._messages:
+                self._arrived = anyio.Event()
+                await self._arrived.wait()
+        return self._messages.popleft() if self._messages else None
+
+
+class Exchanges:
+    """Number attempts and find the open one that a message is for."""
+
+    def __init__(
+        self, incarnation: messages.Incarnation, metrics: counting.Metrics
+    ) -> None:
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._count = 0
+        self._open: dict[messages.AttemptId, Exchange] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def open(self, wire: Wire) -> Exchange:
+        """Return the exchange of a new attempt."""
+        self._count += 1
+        attempt = messages.AttemptId(self._incarnation, self._count)
+        exchange = Exchange(attempt, wire)
+        self._open[attempt] = exchange
+        return exchange
+
+    def close(self, exchange: Exchange) -> None:
+        """Forget an exchange; its later messages are dropped."""
+        self._open.pop(exchange.attempt, None)
+
+    def deliver(self, message: messages.ToSender) -> None:
+        """Hand a message to its exchange, or count it as late."""
+        exchange = self._open.get(message.attempt)
+        if exchange is None:
+            self._metrics.event(counting.Event.LATE_FRAME)
+        else:
+            exchange.deliver(message)
+
+    def lose(self, wire: Wire) -> None:
+        """Tell the open exchanges of a wire that it was cut."""
+        self._metrics.event(counting.Event.LINK_LOST)
+        for exchange in self._open.values():
+            if exchange.wire is wire:
+                exchange.deliver(LinkLost())
--- /dev/null
+++ b/jayflow/request/ingress.py
@@ -0,0 +1,228 @@
+"""Take callers' HTTP requests and give each its one outcome."""
+
+from collections.abc import Callable
+import time
+
+import anyio
+
+from jayflow.connection import messages
+from jayflow import logs
+from jayflow import metrics as counting
+from jayflow.request import dispatch
+from jayflow.request import headers as http
+from jayflow.request import outcome
+from jayflow.request import problem
+from jayflow.request import quarantine
+from jayflow.version import objects
+from jayflow.version import snapshot
+
+Reason = outcome.Reason
+IDEMPOTENT_METHODS = frozenset(
+    {'GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'}
+)
+BODILESS_STATUSES = frozenset({204, 304})
+FIRST_BODY_BYTES = messages.PART_BYTES
+
+
+class CallerGoneError(Exception):
+    """Report a caller that closed its connection."""
+
+
+class Ingress:
+    """Serve callers as an ASGI application."""
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        version: Callable[[], snapshot.Version],
+        metrics: counting.Metrics,
+    ) -> None:
+        self.is_stopping = False
+        self._dispatcher = dispatcher
+        self._version = version
+        self._metrics = metrics
+        self._log = logs.get(logs.Part.INGRESS)
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        self._metrics.event(counting.Event.REQUEST)
+        body = _Body(receive)
+        try:
+            await body.read_first()
+        except CallerGoneError:
+            self._metrics.refused(Reason.BODY_CUT)
+            return
+        async with anyio.create_task_group() as tasks:
+            body.on_end = lambda: tasks.start_soon(
+                self._watch, receive, tasks.cancel_scope
+            )
+            if not body.more:
+                body.on_end()
+            await self._serve(scope, body, send)
+            tasks.cancel_scope.cancel()
+
+    async def _watch(self, receive, scope: anyio.CancelScope) -> None:
+        """Cancel a request whose caller has gone."""
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            self._metrics.event(counting.Event.CALLER_GONE)
+            scope.cancel()
+
+    async def _serve(self, scope, body: '_Body', send) -> None:
+        found = self._request(scope, body)
+        if not isinstance(found, dispatch.Request):
+            await self._send_problem(found, send)
+            return
+        try:
+            result = await self._dispatcher.run(found)
+        except CallerGoneError:
+            self._metrics.refused(Reason.BODY_CUT)
+            return
+        if isinstance(result, dispatch.Answer):
+            await self._send_answer(scope, result, send)
+        else:
+            await self._send_problem(result, send)
+
+    def _request(
+        self, scope, body: '_Body'
+    ) -> dispatch.Request | outcome.Failure:
+        version = self._version()
+        if version.number == snapshot.NO_VERSION:
+            return _never_sent(Reason.NO_CONFIGURATION)
+        headers = scope['headers']
+        host = (http.value_of(headers, b'host') or b'').decode('latin-1')
+        route = version.objects.route_for(
+            host.partition(':')[0].lower(), scope['path']
+        )
+        if route is None:
+            return _never_sent(Reason.NO_ROUTE)
+        policy = version.objects.policy_of(route.service)
+        try:
+            key = http.key_of(headers)
+            remaining_s = http.remaining_s(headers, policy.deadline)
+        except http.InvalidHeaderError:
+            return _never_sent(Reason.BAD_REQUEST)
+        if key is None and _is_key_required(route, scope['method']):
+            return _never_sent(Reason.KEY_REQUIRED)
+        target = scope['raw_path']
+        if scope['query_string']:
+            target += b'?' + scope['query_string']
+        return dispatch.Request(
+            service=route.service,
+            policy=policy,
+            method=scope['method'],
+            target=target,
+            headers=http.framed(headers, body.first, body.more),
+            body=body.first,
+            more=body.more,
+            read_body=body.read,
+            deadline=time.monotonic() + remaining_s,
+            repeatable=_is_repeatable(route, scope['method']),
+            fingerprint=quarantine.fingerprint(
+                route.service, scope['method'], target, body.first
+            ),
+        )
+
+    async def _send_answer(self, scope, answer: dispatch.Answer, send) -> None:
+        try:
+            headers = self._answer_headers(scope, answer)
+            await send(
+                {
+                    'type': 'http.response.start',
+                    'status': answer.status,
+                    'headers': headers,
+                }
+            )
+            await _send_body(send, answer.data, not answer.is_whole)
+            async for data in answer.read_parts():
+                await _send_body(send, data, not answer.is_whole)
+            self._metrics.event(counting.Event.ANSWERED)
+        except dispatch.AnswerCutError:
+            self._metrics.refused(Reason.ANSWER_CUT)
+            self._metrics.event(counting.Event.ANSWER_ABORTED)
+            self._log.warning('Answer was cut, caller aborted.')
+        finally:
+            answer.close()
+
+    def _answer_headers(
+        self, scope, answer: dispatch.Answer
+    ) -> messages.Headers:
+        headers = http.forwarded(answer.headers)
+        length = http.value_of(headers, b'content-length')
+        if answer.status in BODILESS_STATUSES:
+            headers = [row for row in headers if row[0] != b'content-length']
+        elif length is None and answer.is_whole and scope['method'] != 'HEAD':
+            length = str(len(answer.data)).encode()
+            headers.append((b'content-length', length))
+        return self._closing(headers)
+
+    def _closing(self, headers: messages.Headers) -> messages.Headers:
+        if self.is_stopping:
+            headers.append((b'connection', b'close'))
+        return headers
+
+    async def _send_problem(self, failure: outcome.Failure, send) -> None:
+        self._metrics.refused(failure.reason)
+        not_run = failure.outcome is outcome.Outcome.NOT_RUN
+        self._metrics.event(
+            counting.Event.NOT_RUN if not_run else counting.Event.UNKNOWN
+        )
+        document = problem.Problem.from_failure(failure)
+        body = document.body()
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': document.status,
+                'headers': self._closing(document.headers(body)),
+            }
+        )
+        await _send_body(send, body, more=False)
+
+
+class _Body:
+    """Read a request body: a first part, then more on demand."""
+
+    def __init__(self, receive) -> None:
+        self._receive = receive
+        self.on_end: Callable[[], None] = lambda: None
+        self.first = b''
+        self.more = True
+
+    async def read_first(self) -> None:
+        """Read until the body ends or fills the first message."""
+        parts = bytearray()
+        while self.more and len(parts) < FIRST_BODY_BYTES:
+            data, self.more = await self.read()
+            parts += data
+        self.first = bytes(parts)
+
+    async def read(self) -> tuple[bytes, bool]:
+        """Return the next part and whether more follow."""
+        message = await self._receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError
+        if not message['more_body']:
+            self.on_end()
+        return message['body'], message['more_body']
+
+
+def _never_sent(reason: Reason) -> outcome.NotRun:
+    return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
+
+
+def _is_repeatable(route: objects.Route, method: str) -> bool:
+    if route.idempotent is objects.Idempotency.BY_METHOD:
+        return method in IDEMPOTENT_METHODS
+    return route.idempotent is objects.Idempotency.YES
+
+
+def _is_key_required(route: objects.Route, method: str) -> bool:
+    if route.key is not objects.KeyRule.REQUIRED:
+        return False
+    return not _is_repeatable(route, method)
+
+
+async def _send_body(send, data: bytes, more: bool) -> None:
+    await send({'type': 'http.response.body', 'body': data, 'more_body': more})
--- /dev/null
+++ b/jayflow/request/problem.py
@@ -0,0 +1,75 @@
+"""Describe a request without an answer as an RFC 9457 document."""
+
+import dataclasses
+import math
+from typing import Self
+
+import msgspec
+
+from jayflow.connection import messages
+from jayflow.request import outcome
+
+CONTENT_TYPE = b'application/problem+json'
+TYPE_PREFIX = 'urn:jayflow:problem:'
+RETRY_AFTER_S = 1
+Reason = outcome.Reason
+
+_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_CUT: 400,
+    Reason.KEY_REQUIRED: 400,
+    Reason.NO_ROUTE: 404,
+    Reason.KEY_MISMATCH: 422,
+    Reason.HEADERS_TOO_LARGE: 431,
+}
+_TIMEOUTS = frozenset({Reason.DEADLINE, Reason.PEER_SILENT})
+_TITLES = {
+    outcome.Outcome.NOT_RUN: 'The request did not run.',
+    outcome.Outcome.UNKNOWN: 'The request may have run.',
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """Hold what a caller is told; retry-after in seconds."""
+
+    status: int
+    outcome: outcome.Outcome
+    reason: Reason
+    retry_after_s: int | None
+
+    @classmethod
+    def from_failure(cls, failure: outcome.Failure) -> Self:
+        """Return the problem for a failure."""
+        reason = failure.reason
+        if isinstance(failure, outcome.Unknown):
+            status = 504 if reason in _TIMEOUTS else 502
+            return cls(status, failure.outcome, reason, None)
+        status = _STATUSES.get(reason, 503)
+        wait_s = max(RETRY_AFTER_S, math.ceil(failure.retry_after_s))
+        retry_after_s = wait_s if status == 503 else None
+        return cls(status, failure.outcome, reason, retry_after_s)
+
+    def headers(self, body: bytes) -> messages.Headers:
+        """Return the answer's headers."""
+        rows = [
+            (b'content-type', CONTENT_TYPE),
+            (b'content-length', str(len(body)).encode()),
+            (b'jayflow-outcome', self.outcome.value.encode()),
+            (b'jayflow-tried', b'1'),
+        ]
+        if self.retry_after_s is not None:
+            rows.append((b'retry-after', str(self.retry_after_s).encode()))
+        return rows
+
+    def body(self) -> bytes:
+        """Return the document as JSON."""
+        return msgspec.json.encode(
+            {
+                'type': TYPE_PREFIX + self.reason.value,
+                'title': _TITLES[self.outcome],
+                'status': self.status,
+                'outcome': self.outcome.value,
+                'reason': self.reason.value,
+            }
+        )
--- /dev/null
+++ b/jayflow/request/serving.py
@@ -0,0 +1,157 @@
+"""Carry one attempt between its sender and the backend server."""
+
+import collections
+from collections.abc import Callable
+import time
+
+import anyio
+
+from jayflow.connection import messages
+from jayflow.connection import server
+from jayflow.request import outcome
+
+STALL_S = 30.0
+DEADLINE_HEADER = b'jayflow-deadline-ms'
+
+
+class Job:
+    """Hold one attempt at a door from its Start to its last part."""
+
+    def __init__(
+        self,
+        start: messages.Start,
+        reply: Callable[[messages.ToSender], None],
+        now: float,
+    ) -> None:
+        self.start = start
+        self.reply = reply
+        self.is_alone = False
+        self.is_reused = False
+        self.is_closed = False
+        self.has_started = False
+        self.head_at: float | None = None
+        self.cancelled: outcome.Reason | None = None
+        self.scope: anyio.CancelScope | None = None
+        self._deadline = now + start.remaining_ms / 1000
+        self._progress_at = now
+        self._credit = messages.WINDOW_PARTS
+        self._body: collections.deque[messages.BodyPart] = collections.deque()
+        self._next_seq = 0
+        self._changed = anyio.Event()
+
+    @property
+    def may_resend(self) -> bool:
+        """Return whether a reused connection closed without a byte."""
+        return (
+            self.is_reused
+            and self.head_at is None
+            and not self.start.more
+            and self.cancelled is None
+        )
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the deadline passed or the transfer stalls."""
+        if self.head_at is None:
+            return now > self._deadline
+        return now > self._progress_at + STALL_S
+
+    def cancel(self, reason: outcome.Reason) -> None:
+        """End the attempt; the server sees its connection close."""
+        if self.cancelled is None and self.scope is not None:
+            self.cancelled = reason
+            self.scope.cancel()
+
+    def add_credit(self, parts: int) -> None:
+        """Allow more parts of the answer to be sent."""
+        self._credit += parts
+        self._changed.set()
+
+    def add_body(self, part: messages.BodyPart) -> None:
+        """Take a part of the request body; a gap breaks the attempt."""
+        if part.seq == self._next_seq:
+            self._next_seq += 1
+            self._body.append(part)
+            self._changed.set()
+        elif part.seq > self._next_seq:
+            self.cancel(outcome.Reason.BODY_CUT)
+
+    def end(
+        self,
+        kind: type[messages.Broken],
+        reason: outcome.Reason,
+        load: messages.Load,
+    ) -> None:
+        """Send the last message of an attempt that has no whole answer."""
+        self.is_closed = True
+        self.reply(kind(self.start.attempt, reason.value, load))
+
+    async def exchange(
+        self,
+        conn: server.Connection,
+        load: Callable[[], messages.Load],
+    ) -> None:
+        """Send the request and pass the answer on, part by part."""
+        start = self.start
+        is_chunked = start.more and any(
+            name == b'transfer-encoding' for name, _ in start.headers
+        )
+        body = _chunk(start.body, False) if is_chunked else start.body
+        conn.write_head(start.method, start.target, self._headers(), body)
+        if start.more:
+            await self._send_body(conn, is_chunked)
+        status = await conn.read_head()
+        self.head_at = self._progress_at = time.monotonic()
+        data, last = conn.read_ready()
+        head = messages.Head(
+            start.attempt, status, conn.headers, data, last, load()
+        )
+        self._credit -= 1
+        self.reply(head)
+        if not last:
+            await self._send_answer(conn)
+        self.is_closed = True
+
+    def _headers(self) -> messages.Headers:
+        remaining_s = self._deadline - time.monotonic()
+        remaining_ms = max(1, int(remaining_s * 1000))
+        row = (DEADLINE_HEADER, str(remaining_ms).encode())
+        return [*self.start.headers, row]
+
+    async def _send_body(
+        self, conn: server.Connection, is_chunked: bool
+    ) -> None:
+        grant = messages.Credit(self.start.attempt, messages.WINDOW_PARTS)
+        self.reply(grant)
+        last = False
+        while not last:
+            while not self._body:
+                await self._wait()
+            part = self._body.popleft()
+            last = part.last
+            data = _chunk(part.data, last) if is_chunked else part.data
+            await conn.write(data)
+            self._progress_at = time.monotonic()
+            if not last:
+                self.reply(messages.Credit(self.start.attempt, 1))
+
+    async def _send_answer(self, conn: server.Connection) -> None:
+        seq = 0
+        async for data in conn.read_parts():
+            while self._credit < 1:
+                await self._wait()
+            seq += 1
+            self._credit -= 1
+            self._progress_at = time.monotonic()
+            self.reply(
+                messages.Part(self.start.attempt, seq, data, last=False)
+            )
+        self.reply(messages.Part(self.start.attempt, seq + 1, b'', last=True))
+
+    async def _wait(self) -> None:
+        self._changed = anyio.Event()
+        await self._changed.wait()
+
+
+def _chunk(data: bytes, last: bool) -> bytes:
+    chunk = b'%x\r\n%b\r\n' % (len(data), data) if data else b''
+    return chunk + b'0\r\n\r\n' if last else chunk
--- /dev/null
+++ b/jayflow/version/__init__.py
@@ -0,0 +1,1 @@
+"""Values that live for one configuration version."""
--- /dev/null
+++ b/jayflow/version/objects.py
@@ -0,0 +1,235 @@
+"""Named objects that operators describe; they refer to each other."""
+
+import enum
+from typing import Any, ClassVar, NewType, Self
+
+import msgspec
+
+from jayflow.version import findings as found
+from jayflow.version import inifile
+from jayflow.version import quantity
+
+ServiceName = NewType('ServiceName', str)
+DataCentreName = NewType('DataCentreName', str)
+RegionName = NewType('RegionName', str)
+PolicyName = NewType('PolicyName', str)
+
+DEFAULT_DEADLINE_S = 2.0
+DEFAULT_TRIES = 3
+DEFAULT_RETRY_SHARE = 0.1
+DEFAULT_QUEUE_LENGTH = 8
+DEFAULT_QUEUE_TIME_S = 0.05
+DEFAULT_KEY_RETENTION_S = 86400.0
+DEFAULT_QUARANTINE_S = 600.0
+DEFAULT_MEASURING_WEIGHT = 0.5
+
+Field = inifile.Field
+
+
+class RequestClass(enum.Enum):
+    """Rank requests; a door serves them in this order."""
+
+    INTERACTIVE = 'interactive'
+    INTERNAL = 'internal'
+    BULK = 'bulk'
+
+
+class Idempotency(enum.Enum):
+    """Say how a route's requests may be repeated."""
+
+    BY_METHOD = 'by-method'
+    YES = 'yes'
+    NO = 'no'
+
+
+class KeyRule(enum.Enum):
+    """Say what a route does with the Idempotency-Key header."""
+
+    ACCEPTED = 'accepted'
+    REQUIRED = 'required'
+    IGNORED = 'ignored'
+
+
+class _Object(msgspec.Struct, frozen=True):
+    """Build an object from its section."""
+
+    FIELDS: ClassVar[tuple[Field, ...]] = ()
+
+    @classmethod
+    def from_section(
+        cls, section: inifile.Section, findings: found.Findings
+    ) -> Self:
+        """Return the object; a faulty value is a finding and a default."""
+        values = section.read(cls.FIELDS, findings)
+        return cls(name=section.name, **_underscored(values))
+
+
+def _underscored(values: dict[str, Any]) -> dict[str, Any]:
+    return {key.replace('-', '_'): value for key, value in values.items()}
+
+
+class Region(_Object, frozen=True):
+    """Describe a region."""
+
+    name: RegionName
+
+
+class DataCentre(_Object, frozen=True):
+    """Describe a data centre and the region that it is in."""
+
+    name: DataCentreName
+    region: RegionName
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field('region', quantity.name, required=True),
+    )
+
+
+class Link(_Object, frozen=True):
+    """Describe the link between two regions and its budgets.
+
+    Budgets are bytes per second each way; money is per month.
+    """
+
+    name: str
+    regions: tuple[RegionName, ...]
+    capacity: float
+    traffic_budget: float
+    measuring_budget: float
+    price_per_gb: float
+    monthly_budget: float
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field('regions', quantity.names, (), required=True),
+        Field('capacity', quantity.byte_rate, 0.0, required=True),
+        Field('traffic-budget', quantity.byte_rate, 0.0, required=True),
+        Field('measuring-budget', quantity.byte_rate, 0.0, required=True),
+        Field('price-per-gb', float, 0.0),
+        Field('monthly-budget', float, 0.0),
+    )
+
+
+class Policy(_Object, frozen=True):
+    """Describe how requests of a service are treated.
+
+    Durations are seconds; retry_share is extra tries per first try.
+    """
+
+    name: PolicyName
+    request_class: RequestClass = RequestClass.INTERACTIVE
+    deadline: float = DEFAULT_DEADLINE_S
+    try_timeout: float = DEFAULT_DEADLINE_S
+    tries: int = DEFAULT_TRIES
+    retry_share: float = DEFAULT_RETRY_SHARE
+    queue_length: int = DEFAULT_QUEUE_LENGTH
+    queue_time: float = DEFAULT_QUEUE_TIME_S
+    cross_region: bool = True
+    key_retention: float = DEFAULT_KEY_RETENTION_S
+    quarantine: float = DEFAULT_QUARANTINE_S
+    measuring_weight: float = DEFAULT_MEASURING_WEIGHT
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field(
+            'request-class',
+            quantity.choice(RequestClass),
+            RequestClass.INTERACTIVE,
+        ),
+        Field('deadline', quantity.seconds, DEFAULT_DEADLINE_S),
+        Field('try-timeout', quantity.seconds, DEFAULT_DEADLINE_S),
+        Field('tries', quantity.count, DEFAULT_TRIES),
+        Field('retry-share', quantity.fraction, DEFAULT_RETRY_SHARE),
+        Field('queue-length', quantity.count, DEFAULT_QUEUE_LENGTH),
+        Field('queue-time', quantity.seconds, DEFAULT_QUEUE_TIME_S),
+        Field('cross-region', quantity.flag, True),
+        Field('key-retention', quantity.seconds, DEFAULT_KEY_RETENTION_S),
+        Field('quarantine', quantity.seconds, DEFAULT_QUARANTINE_S),
+        Field('measuring-weight', quantity.fraction, DEFAULT_MEASURING_WEIGHT),
+    )
+
+
+class Service(_Object, frozen=True):
+    """Describe a service that backend servers announce."""
+
+    name: ServiceName
+    policy: PolicyName
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field('policy', quantity.name, required=True),
+    )
+
+
+class Route(_Object, frozen=True):
+    """Map a caller's host name and path prefix to a service."""
+
+    name: str
+    host: str
+    path: str
+    service: ServiceName
+    idempotent: Idempotency = Idempotency.BY_METHOD
+    key: KeyRule = KeyRule.ACCEPTED
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field('host', quantity.name, '', required=True),
+        Field('path', quantity.path, '/'),
+        Field('service', quantity.name, required=True),
+        Field(
+            'idempotent',
+            quantity.choice(Idempotency),
+            Idempotency.BY_METHOD,
+        ),
+        Field('key', quantity.choice(KeyRule), KeyRule.ACCEPTED),
+    )
+
+
+class Objects(msgspec.Struct, frozen=True):
+    """Hold the whole set of one configuration version, by kind and name."""
+
+    region: dict[RegionName, Region] = {}
+    data_centre: dict[DataCentreName, DataCentre] = {}
+    link: dict[str, Link] = {}
+    policy: dict[PolicyName, Policy] = {}
+    service: dict[ServiceName, Service] = {}
+    route: dict[str, Route] = {}
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        matches = [
+            route
+            for route in self.route.values()
+            if route.host == host and _is_prefix(route.path, path)
+        ]
+        return max(matches, key=lambda route: len(route.path), default=None)
+
+    def policy_of(self, service: ServiceName) -> Policy:
+        """Return the policy of a service; KeyError when it is unknown."""
+        return self.policy[self.service[service].policy]
+
+    def region_of(self, data_centre: DataCentreName) -> RegionName | None:
+        """Return the region of a data centre."""
+        found_centre = self.data_centre.get(data_centre)
+        return found_centre.region if found_centre else None
+
+    def link_between(self, one: RegionName, other: RegionName) -> Link | None:
+        """Return the link between two regions."""
+        ends = {one, other}
+        for link in self.link.values():
+            if set(link.regions) == ends:
+                return link
+        return None
+
+
+KINDS: dict[str, type[_Object]] = {
+    'region': Region,
+    'data_centre': DataCentre,
+    'link': Link,
+    'policy': Policy,
+    'service': Service,
+    'route': Route,
+}
+
+
+def _is_prefix(prefix: str, path: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return prefix.endswith('/') or not rest or rest[0] in '/?'
