--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,31 @@
+"""Run one experiment; with --json its last line is one JSON object."""
+
+import argparse
+import importlib
+import json
+import sys
+
+EXPERIMENTS = {
+    'hop': 'latency that two nodes add to a call',
+}
+
+
+def main() -> int:
+    """Run the experiment that the command line names."""
+    parser = argparse.ArgumentParser(prog='python -m bench')
+    parser.add_argument('name', choices=sorted(EXPERIMENTS))
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', action='store_true')
+    args = parser.parse_args()
+    print(f'{args.name}: {EXPERIMENTS[args.name]}, seed {args.seed}')
+    experiment = importlib.import_module(f'bench.{args.name}')
+    figures = experiment.run(args.seed)
+    for name, value in figures.items():
+        print(f'{name:>28}  {value}')
+    if args.json:
+        print(json.dumps({'name': args.name, 'seed': args.seed, **figures}))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/stack.py
@@ -0,0 +1,410 @@
+"""Start a platform, nodes and sample servers as processes on loopback."""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Self
+
+HOST = '127.0.0.1'
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 15.0
+POLL_S = 0.02
+SETTINGS = """[node]
+name = {name}
+data-centre = {data_centre}
+http = {host}:{http}
+peer = {host}:{peer}
+announce = {host}:{announce}
+stop-limit = {stop_limit}
+
+[platform]
+address = {host}:{platform}
+call-deadline = 1 s
+calls-per-second = 20
+
+[logs]
+format = json
+"""
+OBJECTS = """[region r1]
+[region r2]
+[data_centre dc1]
+region = r1
+[data_centre dc2]
+region = r2
+[policy quick]
+deadline = 2 s
+try-timeout = 500 ms
+[policy long]
+request-class = bulk
+deadline = 20 s
+try-timeout = 20 s
+[service lookups]
+policy = quick
+[service packs]
+policy = long
+[service catalogue]
+policy = quick
+[route lookups]
+host = test.example
+path = /lookup
+service = lookups
+[route packs]
+host = test.example
+path = /packs
+service = packs
+[route catalogue]
+host = test.example
+path = /catalogue
+service = catalogue
+"""
+CALLER_HOST = 'test.example'
+
+
+class NotInTimeError(Exception):
+    """Report a condition that did not come true in time."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free TCP ports below the range of outgoing connections."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        while len(ports) < count:
+            sock = stack.enter_context(socket.socket())
+            port = 20000 + int.from_bytes(os.urandom(2)) % 12000
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
+
+
+def wait_until(
+    condition: Callable[[], bool], limit_s: float = START_LIMIT_S
+) -> float:
+    """Wait for a condition; return the seconds that it took."""
+    begun = time.monotonic()
+    while not condition():
+        if time.monotonic() - begun > limit_s:
+            raise NotInTimeError(f'not in {limit_s} s: {condition}')
+        time.sleep(POLL_S)
+    return time.monotonic() - begun
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold one whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def reason(self) -> str:
+        """Return the reason of a problem document, else nothing."""
+        if self.headers.get('content-type') != 'application/problem+json':
+            return ''
+        return json.loads(self.body)['reason']
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome that the caller was told."""
+        return self.headers.get('jayflow-outcome', 'answered')
+
+
+def call(
+    port: int,
+    path: str,
+    method: str = 'GET',
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    host: str = CALLER_HOST,
+    timeout_s: float = 10.0,
+) -> Answer:
+    """Make one call; http.client errors show an answer that was cut."""
+    conn = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
+    try:
+        conn.request(method, path, body, {'Host': host, **(headers or {})})
+        response = conn.getresponse()
+        data = response.read()
+    finally:
+        conn.close()
+    rows = {name.lower(): value for name, value in response.getheaders()}
+    return Answer(response.status, rows, data)
+
+
+class Process:
+    """Run one program and keep its log."""
+
+    def __init__(self, folder: pathlib.Path, name: str, *args: str) -> None:
+        self.name = name
+        self.log = folder / f'{name}.log'
+        with self.log.open('ab') as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', 'jayflow', *args],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.is_running:
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self._popen.wait()
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return self._popen.wait(limit_s)
+
+
+@dataclasses.dataclass
+class Node:
+    """Hold a node process and its ports."""
+
+    name: str
+    data_centre: str
+    http: int
+    peer: int
+    announce: int
+    settings: pathlib.Path
+    process: Process
+
+    def status(self) -> dict:
+        """Return the node's own status."""
+        return json.loads(call(self.announce, '/status').body)
+
+    def counter(self, name: str) -> int:
+        """Return one of the node's counters."""
+        return self.status()['counters'].get(name, 0)
+
+    def is_up(self) -> bool:
+        """Return whether the node answers on its announce address."""
+        try:
+            return bool(self.status())
+        except (OSError, http.client.HTTPException):
+            return False
+
+
+@dataclasses.dataclass
+class Server:
+    """Hold a sample server process, its port and its node."""
+
+    name: str
+    port: int
+    node: Node
+    args: tuple[str, ...]
+    process: Process
+
+    def runs(self) -> list[dict]:
+        """Return what the server really ran."""
+        return json.loads(call(self.port, '/.runs').body)
+
+
+class Stack:
+    """Start processes in a folder and end all of them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.platform_port = free_ports(1)[0]
+        self.nodes: list[Node] = []
+        self.servers: list[Server] = []
+        self._processes: list[Process] = []
+
+    @classmethod
+    @contextlib.contextmanager
+    def open(cls) -> Self:
+        """Yield a stack with a running platform; end it afterwards."""
+        with tempfile.TemporaryDirectory() as folder:
+            stack = cls(pathlib.Path(folder))
+            try:
+                stack.start_platform()
+                yield stack
+            finally:
+                stack.close()
+
+    def start_platform(self) -> Process:
+        """Start the platform stand-in."""
+        address = f'{HOST}:{self.platform_port}'
+        process = self._start('platform', 'platform', '--address', address)
+        wait_until(lambda: _listens(self.platform_port))
+        return process
+
+    def start_node(
+        self, data_centre: str = 'dc1', stop_limit: str = '30 s'
+    ) -> Node:
+        """Start a node and wait until it answers."""
+        name = f'n{len(self.nodes) + 1}'
+        http_port, peer, announce = free_ports(3)
+        settings = self.folder / f'{name}.ini'
+        settings.write_text(
+            SETTINGS.format(
+                name=name,
+                data_centre=data_centre,
+                host=HOST,
+                http=http_port,
+                peer=peer,
+                announce=announce,
+                stop_limit=stop_limit,
+                platform=self.platform_port,
+            ),
+            encoding='utf-8',
+        )
+        process = self._start(name, 'node', '--settings', str(settings))
+        node = Node(
+            name, data_centre, http_port, peer, announce, settings, process
+        )
+        self.nodes.append(node)
+        wait_until(node.is_up)
+        return node
+
+    def restart_node(self, node: Node) -> None:
+        """Start a node's process again with the same settings."""
+        node.process = self._start(
+            node.name, 'node', '--settings', str(node.settings)
+        )
+        wait_until(node.is_up)
+
+    def start_server(
+        self, node: Node, services: str = 'lookups', *args: str
+    ) -> Server:
+        """Start a sample server beside a node."""
+        port = free_ports(1)[0]
+        name = f's{len(self.servers) + 1}'
+        given = ('--services', services, *args)
+        process = self._start_server(name, port, node, given)
+        server = Server(name, port, node, given, process)
+        self.servers.append(server)
+        wait_until(lambda: bool(node.status()['services']))
+        return server
+
+    def restart_server(self, server: Server) -> None:
+        """Start a server's process again at the same address."""
+        server.process = self._start_server(
+            server.name, server.port, server.node, server.args
+        )
+        wait_until(lambda: _listens(server.port))
+
+    def start_pairs(
+        self, count: int, services: str = 'lookups', *args: str
+    ) -> None:
+        """Start nodes, each with a server, and publish the objects."""
+        for _ in range(count):
+            self.start_server(self.start_node(), services, *args)
+        self.publish()
+        self.wait_members(len(self.servers))
+
+    def publish(self, text: str = OBJECTS) -> int:
+        """Publish objects and wait until they are in force."""
+        path = self.folder / 'objects.ini'
+        path.write_text(text, encoding='utf-8')
+        output = self.command('publish', '--json', str(path))
+        version = json.loads(output)['version']
+        wait_until(
+            lambda: all(
+                node.status()['version'] >= version for node in self.nodes
+            )
+        )
+        return version
+
+    def wait_members(self, count: int, limit_s: float = 10.0) -> float:
+        """Wait until every node knows so many members."""
+        return wait_until(
+            lambda: all(
+                len(node.status()['members']) == count
+                for node in self.nodes
+                if node.process.is_running
+            ),
+            limit_s,
+        )
+
+    def command(self, name: str, *args: str) -> str:
+        """Run an operator's command and return its output."""
+        platform = ('--platform', f'{HOST}:{self.platform_port}')
+        done = subprocess.run(
+            [sys.executable, '-m', 'jayflow', name, *platform, *args],
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=60,
+        )
+        return done.stdout
+
+    def set_fault(self, kind: str) -> None:
+        """Switch a fault of the platform on, or all off with none."""
+        call(self.platform_port, f'/control/fault?kind={kind}')
+
+    def platform_calls(self) -> dict[str, int]:
+        """Return the platform's count of calls by kind."""
+        answer = call(self.platform_port, '/control/calls')
+        return json.loads(answer.body)['calls']
+
+    def stop_gracefully(self) -> dict[str, int]:
+        """Ask servers, nodes and the platform to stop, in that order.
+
+        Return the exit code of each process by name.
+        """
+        codes = {}
+        for group in (
+            [server.process for server in self.servers],
+            [node.process for node in self.nodes],
+            [self._processes[0]],
+        ):
+            for process in group:
+                process.signal(signal.SIGTERM)
+            for process in group:
+                codes[process.name] = process.wait()
+        return codes
+
+    def close(self) -> None:
+        """End all processes; those that do not stop are killed."""
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self._processes:
+            process.wait()
+
+    def _start(self, name: str, *args: str) -> Process:
+        process = Process(self.folder, name, *args)
+        self._processes.append(process)
+        return process
+
+    def _start_server(self, name, port, node, args) -> Process:
+        return self._start(
+            name,
+            'backend',
+            '--address',
+            f'{HOST}:{port}',
+            '--node',
+            f'{HOST}:{node.announce}',
+            *args,
+        )
+
+
+def _listens(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex((HOST, port)) == 0
--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import contextlib
 import logging
+from typing import ClassVar
 
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
@@ -14,10 +15,34 @@
 MAX_HEAD_BYTES = 32 * 1024
 BACKLOG = 1024
 KEEP_ALIVE_S = 60
+DISCONNECT = 'jayflow.disconnect'
 
 BadRequest = Callable[[bool], tuple[int, list[tuple[bytes, bytes]], bytes]]
 
 
+class Disconnect:
+    """Call back when the caller's connection is lost.
+
+    An ASGI extension: it costs a request no task that waits for it.
+    """
+
+    def __init__(self) -> None:
+        self._on_lost: Callable[[], None] | None = None
+        self._is_lost = False
+
+    def listen(self, on_lost: Callable[[], None] | None) -> None:
+        """Set what to call; at once when the connection is lost already."""
+        self._on_lost = on_lost
+        if self._is_lost and on_lost is not None:
+            on_lost()
+
+    def fire(self) -> None:
+        """Say that the connection is lost."""
+        self._is_lost = True
+        if self._on_lost is not None:
+            self._on_lost()
+
+
 class _Server(uvicorn.Server):
     """Leave signals to the program."""
 
@@ -26,68 +51,72 @@
         yield
 
 
-def _protocol(on_bad_request: BadRequest) -> type:
-    """Return uvicorn's protocol with limits and problem documents."""
-
-    class Protocol(httptools_impl.HttpToolsProtocol):
-        _head_bytes = 0
-        _is_in_head = True
-        _is_too_large = False
-        _row_bytes = 0
-
-        def data_received(self, data: bytes) -> None:
-            if self._is_in_head:
-                self._head_bytes += len(data)
-            was_in_head = self._is_in_head
-            super().data_received(data)
-            is_over = self._head_bytes > MAX_HEAD_BYTES
-            if was_in_head and self._is_in_head and is_over:
-                self._refuse(True)
-
-        def on_message_begin(self) -> None:
-            self._is_in_head = True
-            self._is_too_large = False
-            self._row_bytes = 0
-            super().on_message_begin()
-
-        def on_url(self, url: bytes) -> None:
-            super().on_url(url)
-            self._count_row(url)
-
-        def on_header(self, name: bytes, value: bytes) -> None:
-            super().on_header(name, value)
-            self._count_row(name + value)
-
-        def on_headers_complete(self) -> None:
-            self._is_in_head = False
-            self._head_bytes = 0
-            super().on_headers_complete()
-
-        def on_message_complete(self) -> None:
-            super().on_message_complete()
-            self._is_in_head = True
-
-        def send_400_response(self, msg: str) -> None:
-            del msg
-            self._refuse(self._is_too_large)
-
-        def _count_row(self, row: bytes) -> None:
-            self._row_bytes += len(row)
-            if self._row_bytes > MAX_HEAD_BYTES:
-                self._is_too_large = True
-                raise ValueError('header block is over its limit')
-
-        def _refuse(self, is_too_large: bool) -> None:
-            if self.transport.is_closing():
-                return
-            status, headers, body = on_bad_request(is_too_large)
-            rows = [httptools_impl.STATUS_LINE[status]]
-            for name, value in [*headers, (b'connection', b'close')]:
-                rows += (name, b': ', value, b'\r\n')
-            self.transport.write(b''.join([*rows, b'\r\n', body]))
-            self.transport.close()
-
-    return Protocol
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """Add a limit on header blocks and problem documents."""
+
+    on_bad_request: ClassVar[BadRequest]
+    _head_bytes = 0
+    _row_bytes = 0
+    _is_in_head = True
+    _is_too_large = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        if self.scope is not None:
+            self.scope['extensions'][DISCONNECT].fire()
+
+    def data_received(self, data: bytes) -> None:
+        was_in_head = self._is_in_head
+        if was_in_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        is_over = self._head_bytes > MAX_HEAD_BYTES
+        if was_in_head and self._is_in_head and is_over:
+            self._refuse(True)
+
+    def on_message_begin(self) -> None:
+        self._is_in_head = True
+        self._is_too_large = False
+        self._row_bytes = 0
+        super().on_message_begin()
+        self.scope['extensions'] = {DISCONNECT: Disconnect()}
+
+    def on_url(self, url: bytes) -> None:
+        super().on_url(url)
+        self._count_row(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value)
+        self._count_row(name + value)
+
+    def on_headers_complete(self) -> None:
+        self._is_in_head = False
+        self._head_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self._is_in_head = True
+
+    def send_400_response(self, msg: str) -> None:
+        del msg
+        self._refuse(self._is_too_large)
+
+    def _count_row(self, row: bytes) -> None:
+        self._row_bytes += len(row)
+        if self._row_bytes > MAX_HEAD_BYTES:
+            self._is_too_large = True
+            raise ValueError('header block is over its limit')
+
+    def _refuse(self, is_too_large: bool) -> None:
+        if self.transport.is_closing():
+            return
+        status, headers, body = self.on_bad_request(is_too_large)
+        rows = [httptools_impl.STATUS_LINE[status]]
+        for name, value in [*headers, (b'connection', b'close')]:
+            rows += (name, b': ', value, b'\r\n')
+        self.transport.write(b''.join([*rows, b'\r\n', body]))
+        self.transport.close()
 
 
 def create(
@@ -99,7 +128,11 @@
         app,
         host=host,
         port=port,
-        http=_protocol(on_bad_request),
+        http=type(
+            'Protocol',
+            (_Protocol,),
+            {'on_bad_request': staticmethod(on_bad_request)},
+        ),
         ws='none',
         lifespan='off',
         log_config=None,
--- a/jayflow/connection/sockets.py
+++ b/jayflow/connection/sockets.py
@@ -44,16 +44,10 @@
 
     def drain(self) -> None:
         """Hand over waiting messages; yield the loop after a while."""
-        if self.socket.closed:
-            return
         for _ in range(MESSAGES_PER_TURN):
-            try:
-                frames = self.socket.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            self._on_frames(frames)
-            if self.socket.closed:
+            if not self._has_message():
                 return
+            self._on_frames(self.socket.recv_multipart(zmq.NOBLOCK))
         self._loop.call_soon(self.drain)
 
     def send(self, frames: list[bytes]) -> None:
@@ -64,11 +58,14 @@
             raise LinkDownError(str(exc)) from exc
         finally:
             # The descriptor is edge-triggered: a send can eat its signal.
-            if not self.socket.closed and (
-                self.socket.getsockopt(zmq.EVENTS) & zmq.POLLIN
-            ):
+            if self._has_message():
                 self._loop.call_soon(self.drain)
 
+    def _has_message(self) -> bool:
+        return not self.socket.closed and bool(
+            self.socket.getsockopt(zmq.EVENTS) & zmq.POLLIN
+        )
+
     def close(self) -> None:
         """Stop reading and close the socket."""
         if not self.socket.closed:
--- a/jayflow/process/loop.py
+++ b/jayflow/process/loop.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import gc
-import os
 
 import anyio
 
@@ -11,9 +10,8 @@
 
 
 def run(main: Callable[..., Awaitable], *args) -> None:
-    """Run until the coroutine returns, with io_uring switched off."""
-    os.environ['UV_USE_IO_URING'] = '0'
+    """Run until the coroutine returns, on the standard library's loop."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    anyio.run(main, *args, backend_options={'use_uvloop': True})
+    anyio.run(main, *args)
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -55,6 +55,11 @@
         """Hand a message to the door at once."""
         self._door.handle(message, self._deliver)
 
+    @property
+    def is_up(self) -> bool:
+        """Return that a message can always be sent."""
+        return True
+
     async def wait_ready(self) -> None:
         """Return at once."""
 
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -420,6 +420,8 @@
 
 
 async def _is_ready(wire: exchanges.Wire, remaining_s: float) -> bool:
+    if wire.is_up:
+        return True
     with anyio.move_on_after(min(CONNECT_TIMEOUT_S, max(0, remaining_s))):
         await wire.wait_ready()
         return True
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -4,12 +4,12 @@
 taken, and it can prove that an attempt did not start.
 """
 
+import asyncio
 from collections.abc import Callable
 import secrets
 import time
 
 import anyio
-import anyio.abc
 
 from jayflow.connection import announcement
 from jayflow.connection import messages
@@ -30,6 +30,7 @@
 ANNOUNCEMENT_TTL_S = 3.0
 RENEW_S = 1.0
 TICK_S = 0.01
+IDLE_TICK_S = 0.05
 SUSPECT_WAIT_S = 0.5
 COLD_SLOT_SHARE = 0.25
 CRASH_PROBE_S = 0.02
@@ -75,7 +76,7 @@
         self._crash: frozenset[quarantine.Fingerprint] = frozenset()
         self._crash_until = 0.0
         self._is_crash_reported = False
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: set[asyncio.Task] = set()
 
     @property
     def announced(self) -> announcement.Announcement | None:
@@ -147,10 +148,13 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with anyio.create_task_group() as self._tasks:
+        try:
             while True:
-                await anyio.sleep(TICK_S)
+                await anyio.sleep(TICK_S if self._jobs else IDLE_TICK_S)
                 self._tick(self._clock())
+        finally:
+            for task in self._tasks:
+                task.cancel()
 
     def handle(self, message: messages.ToDoor, reply: Reply) -> None:
         """Take one message from a sender."""
@@ -203,7 +207,7 @@
         )
         self._jobs[start.attempt] = job
         if self._admission.try_start(start.service, start.rank, job.is_alone):
-            self._tasks.start_soon(self._serve, job)
+            self._spawn(job)
         else:
             self._enqueue(job, now)
 
@@ -260,11 +264,19 @@
         else:
             job.cancel(Reason.CANCELLED)
 
+    def _spawn(self, job: serving.Job) -> None:
+        """Run a job in a plain task: a task group costs more per call."""
+        job.task = asyncio.get_running_loop().create_task(self._serve(job))
+        self._tasks.add(job.task)
+        job.task.add_done_callback(self._tasks.discard)
+
     async def _serve(self, job: serving.Job) -> None:
         start, begun = job.start, self._clock()
         try:
-            with anyio.CancelScope() as job.scope:
-                await self._serve_started(job)
+            await self._serve_started(job)
+        except asyncio.CancelledError:
+            if job.cancelled is None:
+                raise
         finally:
             now = self._clock()
             self._running.discard(start.attempt)
@@ -381,8 +393,7 @@
 
     def _start_waiting(self) -> None:
         while waiting := self._admission.next_waiting():
-            job = self._jobs.get(waiting.item)
-            self._tasks.start_soon(self._serve, job)
+            self._spawn(self._jobs[waiting.item])
 
     def _refuse(
         self, start: messages.Start, reason: Reason, reply: Reply
--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -1,10 +1,9 @@
 """Hold a sender's open attempts and hand each its messages."""
 
+import asyncio
 import collections
 from typing import Protocol
 
-import anyio
-
 from jayflow.connection import messages
 from jayflow import metrics as counting
 
@@ -15,6 +14,10 @@
     def send(self, message: messages.ToDoor) -> None:
         """Send without waiting."""
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether a message can be sent now."""
+
     async def wait_ready(self) -> None:
         """Wait until a message can be sent."""
 
@@ -30,21 +33,29 @@
         self.attempt = attempt
         self.wire = wire
         self._messages: collections.deque = collections.deque()
-        self._arrived = anyio.Event()
+        self._waiter: asyncio.Future | None = None
 
     def deliver(self, message: messages.ToSender | LinkLost) -> None:
         """Add a message; never waits."""
         self._messages.append(message)
-        self._arrived.set()
+        self._wake()
 
     async def next(self, timeout_s: float):
         """Return the next message, or None when the time is over."""
-        with anyio.move_on_after(timeout_s):
-            while not self._messages:
-                self._arrived = anyio.Event()
-                await self._arrived.wait()
+        if not self._messages:
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            timer = loop.call_later(timeout_s, self._wake)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
         return self._messages.popleft() if self._messages else None
 
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
 
 class Exchanges:
     """Number attempts and find the open one that a message is for."""
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from jayflow.connection import http_server
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as counting
@@ -54,21 +55,13 @@
         except CallerGoneError:
             self._metrics.refused(Reason.BODY_CUT)
             return
-        async with anyio.create_task_group() as tasks:
-            body.on_end = lambda: tasks.start_soon(
-                self._watch, receive, tasks.cancel_scope
-            )
-            if not body.more:
-                body.on_end()
+        disconnect = scope['extensions'][http_server.DISCONNECT]
+        with anyio.CancelScope() as cancel:
+            disconnect.listen(cancel.cancel)
             await self._serve(scope, body, send)
-            tasks.cancel_scope.cancel()
-
-    async def _watch(self, receive, scope: anyio.CancelScope) -> None:
-        """Cancel a request whose caller has gone."""
-        message = await receive()
-        if message['type'] == 'http.disconnect':
+        disconnect.listen(None)
+        if cancel.cancelled_caught:
             self._metrics.event(counting.Event.CALLER_GONE)
-            scope.cancel()
 
     async def _serve(self, scope, body: '_Body', send) -> None:
         found = self._request(scope, body)
@@ -186,7 +179,6 @@
 
     def __init__(self, receive) -> None:
         self._receive = receive
-        self.on_end: Callable[[], None] = lambda: None
         self.first = b''
         self.more = True
 
@@ -203,8 +195,6 @@
         message = await self._receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError
-        if not message['more_body']:
-            self.on_end()
         return message['body'], message['more_body']
 
 
--- a/jayflow/request/serving.py
+++ b/jayflow/request/serving.py
@@ -1,5 +1,6 @@
 """Carry one attempt between its sender and the backend server."""
 
+import asyncio
 import collections
 from collections.abc import Callable
 import time
@@ -31,7 +32,7 @@
         self.has_started = False
         self.head_at: float | None = None
         self.cancelled: outcome.Reason | None = None
-        self.scope: anyio.CancelScope | None = None
+        self.task: asyncio.Task | None = None
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
         self._credit = messages.WINDOW_PARTS
@@ -57,9 +58,9 @@
 
     def cancel(self, reason: outcome.Reason) -> None:
         """End the attempt; the server sees its connection close."""
-        if self.cancelled is None and self.scope is not None:
+        if self.cancelled is None and self.task is not None:
             self.cancelled = reason
-            self.scope.cancel()
+            self.task.cancel()
 
     def add_credit(self, parts: int) -> None:
         """Allow more parts of the answer to be sent."""
--- /dev/null
+++ b/tests/process/test_path.py
@@ -0,0 +1,198 @@
+"""Check the whole path with live processes."""
+
+import concurrent.futures
+import http.client
+import signal
+import socket
+import subprocess
+import sys
+import unittest
+
+from bench import stack as stacks
+import zmq
+
+from jayflow.emulator import backend
+from jayflow.process import settings
+
+HEAD = b'GET /lookup HTTP/1.1\r\nhost: test.example\r\n'
+RAW_CASES = [
+    ('malformed', b'nonsense\r\n\r\n', b'400', 'refused.bad_request'),
+    (
+        'large header',
+        HEAD + b'x: ' + b'y' * 40_000 + b'\r\n\r\n',
+        b'431',
+        'refused.headers_too_large',
+    ),
+    (
+        'endless header',
+        HEAD + b'x: ' + b'y' * 70_000,
+        b'431',
+        'refused.headers_too_large',
+    ),
+    (
+        'bad deadline',
+        HEAD + b'jayflow-deadline-ms: soon\r\n\r\n',
+        b'400',
+        'refused.bad_request',
+    ),
+    ('no route', b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', b'404', ''),
+    (
+        'body cut',
+        HEAD.replace(b'GET', b'POST') + b'content-length: 9\r\n\r\nabc',
+        b'',
+        'refused.body_cut',
+    ),
+]
+GARBAGE = [b'', b'\xc1', b'\x00' * 100, b'\x93\xa1S\x01\x02']
+
+
+def _raw(port: int, data: bytes) -> bytes:
+    """Send bytes, end the sending side and return what comes back."""
+    with socket.create_connection((stacks.HOST, port), timeout=5) as sock:
+        sock.sendall(data)
+        if b'content-length: 9' in data:
+            return b''
+        return sock.recv(65536)
+
+
+def _wait_counter(node: stacks.Node, name: str, least: int) -> None:
+    stacks.wait_until(lambda: node.counter(name) >= least)
+
+
+class PathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.stack = cls.enterClassContext(stacks.Stack.open())
+        cls.stack.start_pairs(2, 'lookups,packs')
+
+    def test_raw_requests(self):
+        node = self.stack.nodes[0]
+        for title, data, status, counter in RAW_CASES:
+            with self.subTest(title):
+                before = node.counter(counter)
+                answer = _raw(node.http, data)
+                self.assertEqual(status, answer[9:12])
+                if counter:
+                    _wait_counter(node, counter, before + 1)
+                self.assertTrue(node.process.is_running)
+
+    def test_garbage_frames(self):
+        node = self.stack.nodes[0]
+        before = node.counter('refused.garbage_frame')
+        context = zmq.Context()
+        self.addCleanup(context.destroy, linger=0)
+        sock = context.socket(zmq.DEALER)
+        sock.connect(f'tcp://{stacks.HOST}:{node.peer}')
+        for frame in GARBAGE:
+            sock.send(frame)
+        stacks.wait_until(
+            lambda: (
+                node.counter('refused.garbage_frame') - before == len(GARBAGE)
+            )
+        )
+        self.assertEqual(200, stacks.call(node.http, '/lookup').status)
+
+    def test_answers_are_whole_and_own(self):
+        def ask(count: int) -> bool:
+            node = self.stack.nodes[count % 2]
+            size = (0, 1, 1000, 65536, 65537, 300_000)[count % 6]
+            path = '/packs' if count % 2 else '/lookup'
+            answer = stacks.call(
+                node.http, f'{path}/{count}?bytes={size}&mark=m{count}'
+            )
+            return answer.body == backend.content(f'm{count}', size)
+
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            self.assertTrue(all(pool.map(ask, range(120))))
+
+    def test_bodies_arrive_whole(self):
+        node = self.stack.nodes[0]
+        for size in (0, 1, 65536, 65537, 1_000_000):
+            for chunked in (False, True):
+                with self.subTest(size=size, chunked=chunked):
+                    data = backend.content('up', size)
+                    body = iter([data]) if chunked else data
+                    answer = stacks.call(node.http, '/packs', 'POST', body)
+                    length = answer.headers['x-body-length']
+                    self.assertEqual((200, str(size)), (answer.status, length))
+
+    def test_head_and_empty_statuses(self):
+        node = self.stack.nodes[0]
+        for method, status in (('HEAD', 200), ('GET', 204), ('GET', 304)):
+            with self.subTest(method=method, status=status):
+                path = f'/lookup?status={status}&bytes=0'
+                answer = stacks.call(node.http, path, method)
+                self.assertEqual((status, b''), (answer.status, answer.body))
+
+    def test_cut_answer_is_never_whole(self):
+        with self.assertRaises(http.client.IncompleteRead):
+            stacks.call(
+                self.stack.nodes[0].http, '/packs?bytes=900000&cut=500000'
+            )
+
+    def test_deadline_is_an_honest_unknown(self):
+        answer = stacks.call(
+            self.stack.nodes[0].http,
+            '/lookup?ms=800',
+            'POST',
+            headers={'jayflow-deadline-ms': '100'},
+        )
+        self.assertEqual(
+            (504, 'unknown', 'deadline'),
+            (answer.status, answer.outcome, answer.reason),
+        )
+
+    def test_caller_gone_cancels(self):
+        node = self.stack.nodes[0]
+        before = node.counter('caller_gone')
+        data = HEAD.replace(b'/lookup', b'/lookup?ms=1500') + b'\r\n'
+        with socket.create_connection((stacks.HOST, node.http)) as sock:
+            sock.sendall(data)
+            stacks.wait_until(
+                lambda: any(n.status()['running'] for n in self.stack.nodes)
+            )
+        stacks.wait_until(lambda: node.counter('caller_gone') > before, 1)
+        stacks.wait_until(
+            lambda: not any(n.status()['running'] for n in self.stack.nodes),
+            1,
+        )
+
+
+class SettingsExitTest(unittest.TestCase):
+    def test_faults_exit_2(self):
+        with stacks.Stack.open() as stack:
+            path = stack.folder / 'bad.ini'
+            path.write_text('[node]\nname = n 1\n', encoding='utf-8')
+            done = subprocess.run(
+                [sys.executable, '-m', 'jayflow', 'node', '--settings', path],
+                capture_output=True,
+                text=True,
+                timeout=20,
+            )
+        self.assertEqual(2, done.returncode)
+        self.assertGreater(len(done.stderr.splitlines()), 4)
+
+    def test_fields_have_readers(self):
+        for title, fields in settings.FIELDS.items():
+            for field in fields:
+                self.assertTrue(callable(field.read), (title, field.key))
+
+
+class StopTest(unittest.TestCase):
+    def test_processes_stop_gracefully(self):
+        with stacks.Stack.open() as stack:
+            stack.start_pairs(2)
+            codes = stack.stop_gracefully()
+        self.assertEqual({0}, set(codes.values()))
+
+    def test_no_io_uring(self):
+        with stacks.Stack.open() as stack:
+            node = stack.start_node()
+            folder = f'/proc/{node.process.pid}/fd'
+            names = subprocess.run(
+                ['ls', '-l', folder], capture_output=True, text=True
+            ).stdout
+            self.assertIn('eventpoll', names)
+            self.assertNotIn('io_uring', names)
+            node.process.signal(signal.SIGTERM)
+            self.assertEqual(0, node.process.wait())
