Route by the median latency, own requests in flight and silence

Two causes in the trace: the product of noisy latencies drew all senders to one lucky server, and an unknown or silent server looked fast. The lower median is used.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     'outcomes': 'broken promises under a table of faults',
     'claims': 'grouped claims of idempotency keys against the platform',
     'transfer': 'downloads with slow readers, and lookups beside them',
+    'routing': 'latency of routing against baselines, virtual time',
     'hop': 'latency that two nodes add to a call',
 }
 
--- a/bench/transfer.py
+++ b/bench/transfer.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-import random
 import pathlib
+import random
 import secrets
 import subprocess
 import sys
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -309,7 +309,7 @@
             view.observe_failure(time.monotonic())
             return self._not_sent()
         exchange = self._exchanges.open(wire)
-        view.sent()
+        view.sent(time.monotonic())
         result: Result | None = None
         try:
             wire.send(_start(req, exchange.attempt, view))
@@ -332,7 +332,7 @@
         )
 
     def _end(self, view: routing.View, exchange: exchanges.Exchange) -> None:
-        view.ended()
+        view.ended(time.monotonic())
         self._exchanges.close(exchange)
 
     async def _wait_answer(
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -17,13 +17,19 @@
 
 REPORT_DECAY_S = 0.1
 LATENCY_WEIGHT = 0.2
-START_LATENCY_S = 0.005
 FAILURE_LATENCY_S = 0.25
 COOLDOWN_S = 0.25
 MAX_COOLDOWN_S = 30.0
 MAX_RETRY_AFTER_S = 10.0
 MAX_COOLED_SHARE = 0.5
 LEAVING_TRUST_S = 3.0
+MAX_CANDIDATES = 24
+TYPICAL_LATENCY_S = 0.005
+SLOW_RATIO = 2.0
+SILENCE_RATIO = 3.0
+
+BUSY_WEIGHT = 0.5
+OWN_WEIGHT = 0.5
 
 
 class Distance(enum.IntEnum):
@@ -43,7 +49,10 @@
 
 @dataclasses.dataclass
 class View:
-    """Hold what a node knows of one member, and from when."""
+    """Hold what a node knows of one member, and from when.
+
+    Times are monotonic seconds; the latency is unknown until heard.
+    """
 
     member: members.Member
     distance: Distance
@@ -51,18 +60,22 @@
     load_at: float = -math.inf
     inflight: int = 0
     sent_since: int = 0
-    latency_s: float = START_LATENCY_S
+    waiting_since: float = math.inf
+    latency_s: float | None = None
     failures: int = 0
     cooldown_until: float = -math.inf
 
-    def sent(self) -> None:
+    def sent(self, now: float) -> None:
         """Count an attempt that goes to this member."""
+        if not self.inflight:
+            self.waiting_since = now
         self.inflight += 1
         self.sent_since += 1
 
-    def ended(self) -> None:
+    def ended(self, now: float) -> None:
         """Count an attempt that has ended."""
         self.inflight -= 1
+        self.waiting_since = now if self.inflight else math.inf
 
     def observe_load(self, load: messages.Load, now: float) -> None:
         """Take a load report."""
@@ -72,32 +85,69 @@
 
     def observe_answer(self, elapsed_s: float) -> None:
         """Learn the latency of a served attempt."""
-        self.latency_s += LATENCY_WEIGHT * (elapsed_s - self.latency_s)
+        self._learn(elapsed_s)
         self.failures = 0
 
     def observe_failure(self, now: float, retry_after_s: float = 0.0) -> None:
         """Count a failure: failing fast must not look fast."""
         self.failures += 1
-        slow_s = max(self.latency_s, FAILURE_LATENCY_S)
-        self.latency_s += LATENCY_WEIGHT * (slow_s - self.latency_s)
+        self._learn(max(self.latency_s or 0.0, FAILURE_LATENCY_S))
         growing_s = COOLDOWN_S * 2 ** min(self.failures - 1, 8)
         asked_s = min(retry_after_s, MAX_RETRY_AFTER_S)
         pause_s = min(MAX_COOLDOWN_S, max(growing_s, asked_s))
         self.cooldown_until = now + pause_s
 
-    def queue(self, now: float) -> float:
-        """Estimate the requests at the server, with age in account."""
+    def _learn(self, elapsed_s: float) -> None:
+        if self.latency_s is None:
+            self.latency_s = elapsed_s
+        else:
+            change = elapsed_s - self.latency_s
+            self.latency_s += LATENCY_WEIGHT * change
+
+    def service_s(self) -> float | None:
+        """Return the time in service that the door or answers show."""
+        if self.load is not None and self.load.latency_ms:
+            reported_s = self.load.latency_ms / 1000
+            if self.failures:
+                return max(reported_s, self.latency_s or 0.0)
+            return reported_s
+        return self.latency_s
+
+    def reported(self, now: float) -> float:
+        """Return the reported requests; their weight falls with age."""
         if self.load is None:
-            return float(self.inflight)
+            return 0.0
         weight = math.exp(-(now - self.load_at) / REPORT_DECAY_S)
-        reported = self.load.running + self.load.queued + self.sent_since
-        return max(float(self.inflight), weight * reported)
-
-    def cost(self, now: float) -> float:
-        """Estimate the time that an attempt would take, in seconds."""
+        known = self.load.running + self.load.queued + self.sent_since
+        return weight * known
+
+    def queue(self, now: float, scale: float) -> float:
+        """Estimate the requests at the server.
+
+        Own requests in flight, scaled to all senders, are never stale;
+        reports tell what the others did.
+        """
+        own = scale * self.inflight
+        mixed = (1 - OWN_WEIGHT) * self.reported(now) + OWN_WEIGHT * own
+        return max(float(self.inflight), mixed)
+
+    def cost(self, now: float, typical_s: float, scale: float) -> float:
+        """Estimate an attempt's time in seconds.
+
+        A server near the typical latency counts as typical, since small
+        differences are noise that would draw all senders to one server.
+        """
+        ratio = (self.service_s() or typical_s) / typical_s
+        if ratio < SLOW_RATIO:
+            ratio = 1.0
+        silence = max(0.0, now - self.waiting_since) / typical_s
+        if silence > SILENCE_RATIO * ratio:
+            ratio = silence
         slots = max(1, self.member.slots)
-        share = (self.queue(now) + 1) / slots
-        return RTT_S[self.distance] + self.latency_s * (1 + share)
+        queue = self.queue(now, scale)
+        waits = max(0.0, queue + 1 - slots) / slots
+        busy = BUSY_WEIGHT * queue / slots
+        return RTT_S[self.distance] + typical_s * ratio * (1 + waits + busy)
 
 
 def choose(
@@ -121,14 +171,15 @@
     pool = near or (left if far_allowed else [])
     if not pool:
         return None
-    warm = [view for view in pool if view.cooldown_until <= now]
-    if len(warm) < len(pool) * (1 - MAX_COOLED_SHARE) or not warm:
-        by_end = sorted(pool, key=lambda view: view.cooldown_until)
-        warm = by_end[: max(1, math.ceil(len(pool) / 2))]
+    if len(pool) > MAX_CANDIDATES:
+        pool = rng.sample(pool, MAX_CANDIDATES)
+    warm = _warm(pool, now)
+    typical_s = _typical_s(warm)
+    scale = _scale(warm, now)
     best = math.inf
     chosen: list[View] = []
     for view in warm:
-        cost = view.cost(now)
+        cost = view.cost(now, typical_s, scale)
         if cost < best:
             best, chosen = cost, [view]
         elif cost == best:
@@ -136,6 +187,31 @@
     return rng.choice(chosen)
 
 
+def _warm(pool: list[View], now: float) -> list[View]:
+    """Return the members out of cooldown, but at least half of them."""
+    warm = [view for view in pool if view.cooldown_until <= now]
+    least = max(1, math.ceil(len(pool) * (1 - MAX_COOLED_SHARE)))
+    if len(warm) >= least:
+        return warm
+    by_end = sorted(pool, key=lambda view: view.cooldown_until)
+    return by_end[:least]
+
+
+def _scale(pool: list[View], now: float) -> float:
+    """Return how many times the own requests all senders' are."""
+    own = sum(view.inflight for view in pool)
+    reported = sum(view.reported(now) for view in pool)
+    return max(1.0, reported / own) if own else 1.0
+
+
+def _typical_s(pool: list[View]) -> float:
+    """Return the lower median of the time in service over the members."""
+    known = sorted(
+        each for view in pool if (each := view.service_s()) is not None
+    )
+    return known[(len(known) - 1) // 2] if known else TYPICAL_LATENCY_S
+
+
 def _is_leaving(view: View, now: float) -> bool:
     if view.load is None or not view.load.draining:
         return False
--- /dev/null
+++ b/tests/connection/test_platform.py
@@ -0,0 +1,131 @@
+"""Check the platform adapter by cases that any platform must pass."""
+
+import asyncio
+import random
+import unittest
+
+from bench import stack as stacks
+from jayflow.connection import platform as api
+from jayflow import metrics as counting
+from jayflow.version import quantity
+
+
+def client(stack: stacks.Stack, calls_per_s: float = 1000.0):
+    """Return a client of a stack's platform."""
+    return api.HttpPlatform(
+        quantity.Address(stacks.HOST, stack.platform_port),
+        api.CallBudget(calls_per_s),
+        counting.Metrics(),
+        0.5,
+    )
+
+
+class PlatformContract(unittest.IsolatedAsyncioTestCase):
+    """Hold the cases; the stand-in is what they run against here."""
+
+    def setUp(self):
+        self.stack = self.enterContext(stacks.Stack.open())
+        self.platform = client(self.stack)
+
+    async def asyncTearDown(self):
+        await self.platform.close()
+
+    async def test_conditional_writes(self):
+        put, absent = self.platform.put, api.ABSENT
+        first = await put('a', b'1', absent)
+        second = await put('a', b'2', first)
+        self.assertGreater(second, first)
+        for title, value, held in (
+            ('create again', b'3', absent),
+            ('stale', b'3', first),
+        ):
+            with self.subTest(title), self.assertRaises(api.ConflictError):
+                await put('a', value, held)
+        with self.assertRaises(api.ConflictError):
+            await self.platform.delete('a', first)
+        entry = await self.platform.get('a')
+        self.assertEqual(api.Entry('a', b'2', second), entry)
+        await self.platform.delete('a', second)
+        self.assertIsNone(await self.platform.get('a'))
+
+    async def test_values_keep_every_byte(self):
+        value = bytes(range(256)) * 100
+        revision = await self.platform.put('x/y z', value, api.ABSENT)
+        entry = await self.platform.get('x/y z')
+        self.assertEqual(api.Entry('x/y z', value, revision), entry)
+        with self.assertRaises(ValueError):
+            await self.platform.put('b', b'0' * 1_000_001, api.ABSENT)
+
+    async def test_list_and_watch(self):
+        await self.platform.put('p/1', b'1', api.ABSENT)
+        await self.platform.put('q/1', b'1', api.ABSENT)
+        listing = await self.platform.list('p/')
+        self.assertEqual(['p/1'], [entry.key for entry in listing.entries])
+        watch = asyncio.create_task(
+            self.platform.watch('p/', listing.revision, 5.0)
+        )
+        await asyncio.sleep(0.1)
+        self.assertFalse(watch.done())
+        await self.platform.put('q/2', b'1', api.ABSENT)
+        revision = await self.platform.put('p/2', b'2', api.ABSENT)
+        await self.platform.delete('p/2', revision)
+        found = await watch
+        self.assertEqual('p/2', found.changes[0].entry.key)
+        found = await self.platform.watch('p/', listing.revision, 5.0)
+        kinds = [change.kind.value for change in found.changes]
+        self.assertEqual(['put', 'delete'], kinds)
+        empty = await self.platform.watch('p/', found.revision, 0.05)
+        self.assertEqual([], empty.changes)
+
+    async def test_a_watch_from_an_unknown_revision(self):
+        with self.assertRaises(api.TooOldError):
+            await self.platform.watch('', api.Revision(10**6), 0.1)
+
+    async def test_faults(self):
+        calls = {
+            'get': lambda: self.platform.get('a'),
+            'list': lambda: self.platform.list('a'),
+            'put': lambda: self.platform.put('a', b'1', api.ABSENT),
+        }
+        cases = [
+            ('down', 'get', api.UnavailableError),
+            ('down', 'list', api.UnavailableError),
+            ('down', 'put', api.AmbiguousError),
+            ('slow', 'get', api.UnavailableError),
+            ('lost-answer', 'put', api.AmbiguousError),
+        ]
+        for fault, name, error in cases:
+            with self.subTest(fault=fault, call=name):
+                self.stack.set_fault(fault)
+                with self.assertRaises(error):
+                    await calls[name]()
+                self.stack.set_fault('none')
+        entry = await self.platform.get('a')
+        self.assertEqual(b'1', entry.value, 'a lost answer took effect')
+
+    async def test_the_call_budget_refuses_before_sending(self):
+        platform = client(self.stack, 0.1)
+        await platform.get('a')
+        before = self.stack.platform_calls()
+        with self.assertRaises(api.CallBudgetError):
+            await platform.put('a', b'', api.ABSENT)
+        self.assertEqual(before, self.stack.platform_calls())
+        await platform.close()
+
+
+class BackoffTest(unittest.TestCase):
+    def test_jitter_is_full_and_bounded(self):
+        rng = random.Random(1)
+        for failures, most in ((1, 0.2), (3, 0.8), (50, 10.0)):
+            waits = [api.backoff_s(failures, rng) for _ in range(200)]
+            self.assertLessEqual(max(waits), most)
+            self.assertLess(min(waits), most / 10)
+            self.assertGreater(max(waits), most * 0.9)
+
+    def test_a_budget_earns_over_time(self):
+        now = 0.0
+        budget = api.CallBudget(2.0, lambda: now)
+        taken = sum(budget.take() for _ in range(100))
+        self.assertEqual(20, taken)
+        now = 3.0
+        self.assertEqual(6, sum(budget.take() for _ in range(100)))
