--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,8 @@
     'claims': 'grouped claims of idempotency keys against the platform',
     'transfer': 'downloads with slow readers, and lookups beside them',
     'routing': 'latency of routing against baselines, virtual time',
+    'overload': 'goodput, tries and neighbours, virtual time',
+    'fleet': 'cost of a node as the fleet grows',
     'hop': 'latency that two nodes add to a call',
 }
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -27,7 +27,7 @@
 QUEUE_TIME_S = 0.05
 DEADLINE_S = 2.0
 MAX_TRIES = 3
-RETRY_SHARE = 0.1
+RETRY_SHARE = objects.DEFAULT_RETRY_SHARE
 SERVICE = objects.ServiceName('lookups')
 
 Choose = Callable[
@@ -81,6 +81,7 @@
         self.slowdown: Slowdown = lambda server, now: 1.0
         self.is_gone = False
         self.is_failing = False
+        self.retry_after_s = 0.0
         self.admission: admission.Admission = admission.Admission(
             slots, services
         )
@@ -230,7 +231,7 @@
         view.ended(self._clock.now)
         if load is not None:
             view.observe_load(load, self._clock.now)
-        view.observe_failure(self._clock.now)
+        view.observe_failure(self._clock.now, server.retry_after_s)
         self._retry()
 
     def _retry(self) -> None:
--- a/bench/stack.py
+++ b/bench/stack.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -18,6 +19,7 @@
 HOST = '127.0.0.1'
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 15.0
+NODES_START_LIMIT_S = 60.0
 POLL_S = 0.02
 SETTINGS = """[node]
 name = {name}
@@ -80,18 +82,27 @@
     """Report a condition that did not come true in time."""
 
 
+_given_ports: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return free TCP ports below the range of outgoing connections."""
+    """Return free TCP ports below the range of outgoing connections.
+
+    No port is given twice: its process may not have bound it yet.
+    """
     with contextlib.ExitStack() as stack:
         ports = []
         while len(ports) < count:
             sock = stack.enter_context(socket.socket())
             port = 20000 + int.from_bytes(os.urandom(2)) % 12000
+            if port in _given_ports:
+                continue
             try:
                 sock.bind((HOST, port))
             except OSError:
                 continue
             ports.append(port)
+            _given_ports.add(port)
         return ports
 
 
@@ -249,6 +260,7 @@
         self.nodes: list[Node] = []
         self.servers: list[Server] = []
         self._processes: list[Process] = []
+        self._numbers = itertools.count(1)
 
     @classmethod
     @contextlib.contextmanager
@@ -273,7 +285,21 @@
         self, data_centre: str = 'dc1', stop_limit: str = '30 s'
     ) -> Node:
         """Start a node and wait until it answers."""
-        name = f'n{len(self.nodes) + 1}'
+        return self.start_nodes(1, data_centre, stop_limit)[0]
+
+    def start_nodes(
+        self, count: int, data_centre: str = 'dc1', stop_limit: str = '30 s'
+    ) -> list[Node]:
+        """Start nodes at the same time and wait until all answer."""
+        started = [
+            self._launch_node(data_centre, stop_limit) for _ in range(count)
+        ]
+        for node in started:
+            wait_until(node.is_up, NODES_START_LIMIT_S)
+        return started
+
+    def _launch_node(self, data_centre: str, stop_limit: str) -> Node:
+        name = f'n{next(self._numbers)}'
         http_port, peer, announce = free_ports(3)
         settings = self.folder / f'{name}.ini'
         settings.write_text(
@@ -294,7 +320,6 @@
             name, data_centre, http_port, peer, announce, settings, process
         )
         self.nodes.append(node)
-        wait_until(node.is_up)
         return node
 
     def restart_node(self, node: Node) -> None:
--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -27,6 +27,7 @@
 BURST_S = 10.0
 BACKOFF_BASE_S = 0.1
 BACKOFF_MAX_S = 10.0
+HEAD_BYTES = 80
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -232,8 +233,16 @@
         except (OSError, TimeoutError, *_TRANSPORT_ERRORS) as exc:
             self._metrics.event(counting.Event.PLATFORM_FAILED)
             raise UnavailableError(repr(exc)) from exc
+        self._count_bytes(rows, path, body, response)
         return response.status, response.headers, response.content
 
+    def _count_bytes(self, rows, path, body, response) -> None:
+        sent = HEAD_BYTES + len(path) + _size(rows) + len(body)
+        received = HEAD_BYTES + _size(response.headers)
+        received += len(response.content)
+        self._metrics.event(counting.Event.CONTROL_SENT_BYTES, sent)
+        self._metrics.event(counting.Event.CONTROL_RECEIVED_BYTES, received)
+
 
 _TRANSPORT_ERRORS = (
     httpcore.NetworkError,
@@ -243,6 +252,10 @@
 _ERRORS = {409: ConflictError, 410: TooOldError, 412: ConflictError}
 
 
+def _size(headers) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def _object(key: str) -> str:
     return '/objects/' + urllib.parse.quote(key)
 
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -38,6 +38,8 @@
     CONFIG_REJECTED = 'config_rejected'
     PLATFORM_CALL = 'platform_call'
     PLATFORM_FAILED = 'platform_failed'
+    CONTROL_SENT_BYTES = 'control_sent_bytes'
+    CONTROL_RECEIVED_BYTES = 'control_received_bytes'
     PLATFORM_BUDGET = 'platform_budget'
     KEY_CLAIMED = 'key_claimed'
     KEY_REPLAYED = 'key_replayed'
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -5,7 +5,7 @@
 
 from jayflow.request import outcome
 
-MAX_TOKENS = 20.0
+MAX_TOKENS = 10.0
 MIN_USEFUL_S = 0.005
 
 
