Keep links between regions within budget by seats that are leased

Cause: nothing held the traffic and measuring budgets of a link. Reading the sender for it showed a lie besides: a body part that could not be sent after the start ended the request as "never sent". Only the Start itself proves that now. Weighed: shares per node (6,000 leases, 200 and more writes a second), a declared number of nodes (no proof when more join), and a few seats per link and side, leased in the platform. Seats chosen: a share is the budget over the seats, used only within a term that runs on the holder's own clock from before it asked; another takes a seat only after a whole term and margin of the same revision on its own clock. Change: far requests and replies are counted with framing at sending and paced; without a seat a node neither sends far nor is chosen far; load reports ride on far answers only within the measuring share. Also: a sample server whose node had gone never ended its drain (test_failures, flaky until mended).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     'routing': 'latency of routing against baselines, virtual time',
     'overload': 'goodput, tries and neighbours, virtual time',
     'fleet': 'cost of a node as the fleet grows',
+    'measuring': 'bytes over a link in a rush, against its budgets',
     'hop': 'latency that two nodes add to a call',
 }
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -142,7 +142,9 @@
         servers: list[FakeServer],
         choose: Choose,
         rng: random.Random,
+        report_share: float = 1.0,
     ) -> None:
+        self.report_share = report_share
         self._clock = clock
         self._servers = {server.name: server for server in servers}
         self._choose = choose
@@ -209,7 +211,7 @@
             def arrive() -> None:
                 if is_served:
                     view.ended(self._clock.now)
-                    view.observe_load(load, self._clock.now)
+                    self._observe(view, load)
                     view.observe_answer(self._clock.now - begun)
                     self._end(True)
                 else:
@@ -224,16 +226,21 @@
 
     def _refused(self, view, server, load) -> None:
         view.ended(self._clock.now)
-        view.observe_load(load, self._clock.now)
+        self._observe(view, load)
         self._retry()
 
     def _failed(self, view, server, load) -> None:
         view.ended(self._clock.now)
         if load is not None:
-            view.observe_load(load, self._clock.now)
+            self._observe(view, load)
         view.observe_failure(self._clock.now, server.retry_after_s)
         self._retry()
 
+    def _observe(self, view: routing.View, load: messages.Load) -> None:
+        """Take a report, unless the measuring budget left it out."""
+        if self._sender._rng.random() < self._sender.report_share:
+            view.observe_load(load, self._clock.now)
+
     def _retry(self) -> None:
         late = self._clock.now - self._begun > DEADLINE_S
         if len(self._tried) >= MAX_TRIES or late or not self._budget.spend():
--- a/bench/stack.py
+++ b/bench/stack.py
@@ -43,6 +43,12 @@
 region = r1
 [data_centre dc2]
 region = r2
+[link l]
+regions = r1, r2
+capacity = 30 Mbit/s
+traffic-budget = 8 Mbit/s
+measuring-budget = 16 kbit/s
+seats = 8
 [policy quick]
 deadline = 2 s
 try-timeout = 500 ms
--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -22,6 +22,7 @@
     slots: int = 0
     draining: bool = False
     cold_start_s: float = 0.0
+    has_seat: bool = False
 
     @property
     def key(self) -> str:
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -65,6 +65,7 @@
     repeatable: bool
     fingerprint: bytes
     suspect: bool = False
+    origin: str = ''
 
 
 class BodyPart(msgspec.Struct, array_like=True, tag='B'):
@@ -163,7 +164,7 @@
 
     attempt: AttemptId
     reason: str
-    load: Load
+    load: Load | None
     retry_after_ms: int = 0
 
 
@@ -175,7 +176,7 @@
     headers: Headers
     data: bytes
     last: bool
-    load: Load
+    load: Load | None
 
 
 class Part(msgspec.Struct, array_like=True, tag='P'):
@@ -192,7 +193,7 @@
 
     attempt: AttemptId
     reason: str
-    load: Load
+    load: Load | None
 
 
 class Revoked(msgspec.Struct, array_like=True, tag='W'):
@@ -200,7 +201,7 @@
 
     attempt: AttemptId
     state: AttemptState
-    load: Load
+    load: Load | None
 
 
 class Status(msgspec.Struct, array_like=True, tag='T'):
--- a/jayflow/connection/sockets.py
+++ b/jayflow/connection/sockets.py
@@ -29,6 +29,10 @@
     """Report a message that was never handed to the network."""
 
 
+class LinkBudgetError(LinkDownError):
+    """Report a message that the link's budget kept from being sent."""
+
+
 class _Pump:
     """Read a socket whenever its descriptor signals."""
 
--- a/jayflow/emulator/backend.py
+++ b/jayflow/emulator/backend.py
@@ -29,6 +29,7 @@
 RENEW_S = 1.0
 PART_BYTES = 64 * 1024
 DRAIN_POLL_S = 0.05
+UNHEARD_POLLS = 20
 ANNOUNCE_TIMEOUT_S = 1.0
 DEFAULT_ANSWER_BYTES = 1024
 MAX_SERVICE_S = 60.0
@@ -196,9 +197,16 @@
         self._log.info('Server is stopped.', cut=self.running)
 
     async def _wait_idle(self, scope: anyio.CancelScope) -> None:
+        """Wait until nothing runs here and the node holds nothing for us.
+
+        A node that is gone holds nothing either.
+        """
+        unheard = 0
         while True:
             left = await self._announce()
-            if left == 0 and self.running == 0:
+            unheard = unheard + 1 if left is None else 0
+            is_node_done = left == 0 or unheard >= UNHEARD_POLLS
+            if is_node_done and self.running == 0:
                 scope.cancel()
                 return
             await anyio.sleep(DRAIN_POLL_S)
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -19,9 +19,11 @@
 from jayflow.connection import messages
 from jayflow.connection import platform as api
 from jayflow.connection import sockets
+from jayflow.connection import spending
 from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.process import announcing
+from jayflow.process import crossing
 from jayflow.process import directory as directories
 from jayflow.process import settings as process_settings
 from jayflow.process import status
@@ -100,6 +102,7 @@
             self._wire_to,
             self._metrics,
             self._rng,
+            cfg.data_centre,
         )
         claimer = keys.Claimer(
             self._platform_at(cfg.claims_per_s), self._metrics
@@ -144,6 +147,15 @@
         self._door.on_change = self._own_changed
         self._door.spread = self._spread_crash
         self._door.quarantine_s = self._quarantine_s
+        self._door.link_to = self._link_to
+        self._crossings = crossing.Crossings(
+            self._platform_at(cfg.calls_per_s),
+            cfg.name,
+            cfg.data_centre,
+            self.incarnation,
+            self._rng,
+            self._registrar.notify,
+        )
         self._listener: sockets.Listener | None = None
 
     @classmethod
@@ -172,6 +184,7 @@
                 self._follower.run,
                 self._registrar.run,
                 self._metrics.run,
+                self._crossings.run,
                 self._run_housekeeping,
             ):
                 tasks.start_soon(part)
@@ -212,6 +225,7 @@
         self._door.stop()
         with anyio.move_on_after(self._cfg.call_deadline):
             await self._registrar.write()
+            await self._crossings.release()
         await anyio.sleep(LEAVE_GRACE_S)
         await self._door.wait_idle()
         callers.should_exit = True
@@ -251,7 +265,12 @@
     ) -> exchanges.Wire:
         if view.member.incarnation == self.incarnation:
             return self._local
-        return self._links.to(view.member, lane)
+        link = self._links.to(view.member, lane)
+        spender = self._crossings.to(view.member.data_centre)
+        return crossing.FarWire(link, spender) if spender else link
+
+    def _link_to(self, origin: str) -> spending.LinkSpender | None:
+        return self._crossings.to(objects.DataCentreName(origin))
 
     def _receive_request(self, peer: sockets.RoutingId, data: bytes) -> None:
         try:
@@ -260,9 +279,12 @@
             self._metrics.refused(Reason.GARBAGE_FRAME)
             return
 
+        origin = message.origin if isinstance(message, messages.Start) else ''
+        spender = self._link_to(origin) if origin else None
+
         def reply(answer: messages.ToSender) -> None:
             try:
-                self._listener.send(peer, answer)
+                self._reply(peer, answer, spender)
             except sockets.LinkDownError:
                 self._metrics.event(counting.Event.REPLY_DROPPED)
 
@@ -286,6 +308,22 @@
             count = keyed.NO_CLAIM
         return self._keyed.memory.get(count, query.attempt)
 
+    def _reply(
+        self,
+        peer: sockets.RoutingId,
+        answer: messages.ToSender,
+        spender: spending.LinkSpender | None,
+    ) -> None:
+        """Send to a peer; far replies but paced ones spend the budget."""
+        is_paced = isinstance(answer, messages.Head | messages.Part)
+        if spender is not None and not is_paced:
+            if not isinstance(answer, messages.Credit):
+                answer.load = None
+            size = len(messages.encode(answer))
+            if not spender.may_send(size, time.monotonic()):
+                raise sockets.LinkBudgetError
+        self._listener.send(peer, answer)
+
     def _receive_answer(self, data: bytes) -> None:
         try:
             message = messages.decode_to_sender(data)
@@ -306,6 +344,7 @@
 
     def _use_version(self, version: snapshot.Version) -> None:
         self._directory.use(version.objects)
+        self._crossings.use(version.objects)
 
     def _quarantine_s(self, service: objects.ServiceName) -> float:
         whole = self._holder.current.objects
@@ -347,6 +386,7 @@
             said.limit,
             said.draining,
             said.cold_start_s,
+            self._crossings.has_seats(),
         )
 
     def _own_changed(self) -> None:
@@ -379,6 +419,7 @@
                 quarantined=self._door.quarantine.count(
                     standing.CONVICTED, now
                 ),
+                links=self._crossings.status(),
                 platform_age_s=now - heard_at if heard_at >= 0 else None,
                 members=tuple(
                     self._member_status(member, now)
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -15,6 +15,22 @@
     report_age_s: float | None
 
 
+class LinkStatus(msgspec.Struct, frozen=True):
+    """Hold a node's seat on a link and what it sent, in bytes.
+
+    A peak is the most that any window of a second has held.
+    """
+
+    region: str
+    has_seat: bool
+    traffic_share: float
+    measuring_share: float
+    traffic_sent: int
+    measuring_sent: int
+    traffic_peak: int
+    measuring_peak: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Hold one node's status; ages in seconds."""
 
@@ -30,6 +46,7 @@
     stopping: bool
     suspects: int
     quarantined: int
+    links: tuple[LinkStatus, ...]
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -29,6 +29,7 @@
 REVOKE_TIMEOUT_S = 0.25
 PART_TIMEOUT_S = 30.0
 LOST_LINK_TIMEOUT_S = 1.0
+PACE_S = 0.02
 SHED_STATUSES = frozenset({429, 503})
 RETRY_STATUSES = frozenset({429, 502, 503, 504})
 OUTCOME_HEADER = b'jayflow-outcome'
@@ -163,7 +164,9 @@
         wire_to: Callable[[routing.View, messages.Lane], exchanges.Wire],
         metrics: counting.Metrics,
         rng: random.Random,
+        data_centre: objects.DataCentreName,
     ) -> None:
+        self._data_centre = data_centre
         self._exchanges = open_exchanges
         self._views_of = views_of
         self._wire_to = wire_to
@@ -306,18 +309,19 @@
     async def _attempt(self, req: Request, view: routing.View) -> Result:
         wire = self._wire_to(view, req.lane)
         if not await _is_ready(wire, req.remaining_s()):
-            view.observe_failure(time.monotonic())
-            return self._not_sent()
+            return self._not_sent(sockets.LinkDownError(), view)
         exchange = self._exchanges.open(wire)
+        start = _start(req, exchange.attempt, view, self._data_centre)
+        try:
+            wire.send(start)
+        except sockets.LinkDownError as exc:
+            self._exchanges.close(exchange)
+            return self._not_sent(exc, view)
+        self._metrics.event(counting.Event.ATTEMPT)
         view.sent(time.monotonic())
         result: Result | None = None
         try:
-            wire.send(_start(req, exchange.attempt, view))
-            self._metrics.event(counting.Event.ATTEMPT)
             result = await self._wait_answer(req, view, exchange)
-        except sockets.LinkDownError:
-            view.observe_failure(time.monotonic())
-            result = self._not_sent()
         finally:
             if result is None:
                 _send_quietly(wire, messages.Cancel(exchange.attempt))
@@ -325,11 +329,15 @@
                 self._end(view, exchange)
         return result
 
-    def _not_sent(self) -> outcome.NotRun:
-        self._metrics.refused(Reason.PEER_UNREACHABLE)
-        return outcome.NotRun(
-            Reason.PEER_UNREACHABLE, outcome.Evidence.NEVER_SENT
-        )
+    def _not_sent(
+        self, exc: sockets.LinkDownError, view: routing.View
+    ) -> outcome.NotRun:
+        reason = Reason.LINK_BUDGET
+        if not isinstance(exc, sockets.LinkBudgetError):
+            reason = Reason.PEER_UNREACHABLE
+            view.observe_failure(time.monotonic())
+        self._metrics.refused(reason)
+        return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
 
     def _end(self, view: routing.View, exchange: exchanges.Exchange) -> None:
         view.ended(time.monotonic())
@@ -357,7 +365,7 @@
                 case messages.Refused():
                     return self._refused(message, view, now)
                 case messages.Broken():
-                    view.observe_load(message.load, now)
+                    _observe(view, message.load, now)
                     view.observe_failure(now)
                     return outcome.Unknown(Reason(message.reason))
                 case messages.Credit():
@@ -384,7 +392,7 @@
         elapsed_s: float,
     ) -> Answer:
         now = time.monotonic()
-        view.observe_load(head.load, now)
+        _observe(view, head.load, now)
         answer = Answer(
             head,
             exchange,
@@ -400,7 +408,7 @@
     def _refused(
         self, message: messages.Refused, view: routing.View, now: float
     ) -> outcome.Failure:
-        view.observe_load(message.load, now)
+        _observe(view, message.load, now)
         reason = Reason(message.reason)
         if reason is Reason.FORGOTTEN:
             return outcome.Unknown(reason)
@@ -411,7 +419,7 @@
     def _revoked(
         self, message: messages.Revoked, view: routing.View, now: float
     ) -> outcome.Failure | None:
-        view.observe_load(message.load, now)
+        _observe(view, message.load, now)
         match message.state:
             case messages.AttemptState.NEVER_STARTED:
                 return outcome.NotRun(
@@ -457,10 +465,11 @@
                         return
                     credit += message.parts
                 body = messages.BodyPart(exchange.attempt, seq, part, False)
-                exchange.wire.send(body)
+                if not await _send_paced(exchange, body):
+                    return
                 seq, credit = seq + 1, credit - 1
         last = messages.BodyPart(exchange.attempt, seq, b'', True)
-        exchange.wire.send(last)
+        await _send_paced(exchange, last)
 
 
 _COOLING = frozenset(
@@ -472,8 +481,19 @@
 )
 
 
+def _observe(
+    view: routing.View, load: messages.Load | None, now: float
+) -> None:
+    """Take a load report; over a link between regions it can be absent."""
+    if load is not None:
+        view.observe_load(load, now)
+
+
 def _start(
-    req: Request, attempt: messages.AttemptId, view: routing.View
+    req: Request,
+    attempt: messages.AttemptId,
+    view: routing.View,
+    origin: objects.DataCentreName,
 ) -> messages.Start:
     return messages.Start(
         attempt=attempt,
@@ -491,6 +511,7 @@
         repeatable=req.repeatable,
         fingerprint=req.fingerprint,
         suspect=req.is_suspect,
+        origin=origin,
     )
 
 
@@ -512,6 +533,25 @@
     return False
 
 
+async def _send_paced(
+    exchange: exchanges.Exchange, message: messages.BodyPart
+) -> bool:
+    """Send a body part once the link's budget allows it.
+
+    The attempt has started: a part that can't be sent is a lost link, it
+    says nothing on whether the request ran.
+    """
+    while True:
+        try:
+            exchange.wire.send(message)
+            return True
+        except sockets.LinkBudgetError:
+            await anyio.sleep(PACE_S)
+        except sockets.LinkDownError:
+            exchange.deliver(exchanges.LinkLost())
+            return False
+
+
 def _send_quietly(wire: exchanges.Wire, message: messages.ToDoor) -> None:
     try:
         wire.send(message)
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -15,6 +15,7 @@
 from jayflow.connection import announcement
 from jayflow.connection import messages
 from jayflow.connection import server
+from jayflow.connection import spending
 from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.request import admission
@@ -28,6 +29,8 @@
 Reply = Callable[[messages.ToSender], None]
 Spread = Callable[[messages.Crashing], Awaitable[None]]
 
+LinkTo = Callable[[str], spending.LinkSpender | None]
+
 ANNOUNCEMENT_TTL_S = 3.0
 RENEW_S = 1.0
 TICK_S = 0.01
@@ -59,6 +62,7 @@
         self.quarantine = quarantine.Quarantine()
         self.on_change: Callable[[], None] = lambda: None
         self.spread: Spread = _spread_to_nobody
+        self.link_to: LinkTo = _no_link
         self.quarantine_s: Callable[[objects.ServiceName], float] = (
             lambda service: objects.DEFAULT_QUARANTINE_S
         )
@@ -107,6 +111,12 @@
             self.is_draining,
         )
 
+    def _load_for(self, job: serving.Job) -> messages.Load | None:
+        """Return the load if the way to the sender has budget for it."""
+        if job.link is not None and not job.link.may_measure(self._clock()):
+            return None
+        return self.load()
+
     def announce(self, said: announcement.Announcement) -> None:
         """Take an announcement from the backend server."""
         before, now = self._announced, self._clock()
@@ -204,6 +214,7 @@
             self._refuse(start, reason, reply)
             return
         job = serving.Job(start, reply, now)
+        job.link = self.link_to(start.origin)
         standing = self.quarantine.standing(start.fingerprint, now)
         job.is_alone = bool(start.fingerprint) and (
             start.suspect or standing is quarantine.Standing.SUSPECT
@@ -321,13 +332,13 @@
         self, job: serving.Job, conn: server.Connection
     ) -> None:
         try:
-            await job.exchange(conn, self.load)
+            await job.exchange(conn, lambda: self._load_for(job))
         except server.ServerError:
             if not (job.start.repeatable and job.may_resend):
                 raise
             conn = await job.pool.open()
             try:
-                await job.exchange(conn, self.load)
+                await job.exchange(conn, lambda: self._load_for(job))
             finally:
                 job.pool.give(conn)
         if job.is_alone:
@@ -455,6 +466,11 @@
             self._start_waiting()
 
 
+def _no_link(origin: str) -> None:
+    """Return that no link between regions lies before a sender."""
+    del origin
+
+
 async def _spread_to_nobody(report: messages.Crashing) -> None:
     del report
 
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -160,7 +160,8 @@
     """Return the view to try next, or None when there is none.
 
     A member in cooldown is passed over, but never more than a share of
-    the members. Far members are used when no near one is left.
+    the members. Far members are used when no near one is left, if they
+    may answer over the link between the regions.
     """
     left = [
         view
@@ -168,7 +169,8 @@
         if view.member.node not in tried and not _is_leaving(view, now)
     ]
     near = [view for view in left if view.distance is not Distance.FAR]
-    pool = near or (left if far_allowed else [])
+    far = [view for view in left if view.member.has_seat and far_allowed]
+    pool = near or far
     if not pool:
         return None
     if len(pool) > MAX_CANDIDATES:
--- a/jayflow/request/serving.py
+++ b/jayflow/request/serving.py
@@ -9,6 +9,7 @@
 
 from jayflow.connection import messages
 from jayflow.connection import server
+from jayflow.connection import spending
 from jayflow.request import outcome
 
 STALL_S = 30.0
@@ -35,6 +36,7 @@
         self.cancelled: outcome.Reason | None = None
         self.task: asyncio.Task | None = None
         self.pool: server.Pool | None = None
+        self.link: spending.LinkSpender | None = None
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
         self._credit = messages.WINDOW_PARTS
@@ -107,15 +109,30 @@
         status = await conn.read_head()
         self.head_at = self._progress_at = time.monotonic()
         data, last = conn.read_ready()
+        first = data[: self._part_bytes()]
+        is_whole = last and len(first) == len(data)
         head = messages.Head(
-            start.attempt, status, conn.headers, data, last, load()
+            start.attempt, status, conn.headers, first, is_whole, load()
         )
         self._credit -= 1
-        self.reply(head)
-        if not last:
-            await self._send_answer(conn)
+        await self._reply_paced(head)
+        if not is_whole:
+            await self._send_answer(conn, data[len(first) :])
         self.is_closed = True
 
+    def _part_bytes(self) -> int:
+        if self.link is None:
+            return messages.PART_BYTES
+        return min(messages.PART_BYTES, self.link.part_bytes)
+
+    async def _reply_paced(
+        self, message: messages.Head | messages.Part
+    ) -> None:
+        """Reply within the budget of a link between regions, if any."""
+        if self.link is not None:
+            await self.link.pace(len(messages.encode(message)))
+        self.reply(message)
+
     def _headers(self) -> messages.Headers:
         remaining_s = self._deadline - time.monotonic()
         remaining_ms = max(1, int(remaining_s * 1000))
@@ -139,18 +156,27 @@
             if not last:
                 self.reply(messages.Credit(self.start.attempt, 1))
 
-    async def _send_answer(self, conn: server.Connection) -> None:
-        seq = 0
+    async def _send_answer(self, conn: server.Connection, rest: bytes) -> None:
+        seq = await self._send_parts(0, rest)
         async for data in conn.read_parts():
+            seq = await self._send_parts(seq, data)
+        last = messages.Part(self.start.attempt, seq + 1, b'', last=True)
+        await self._reply_paced(last)
+
+    async def _send_parts(self, seq: int, data: bytes) -> int:
+        """Send data in parts under credit; return the last seq."""
+        size = self._part_bytes()
+        for first in range(0, len(data), size):
             while self._credit < 1:
                 await self._wait()
             seq += 1
             self._credit -= 1
             self._progress_at = time.monotonic()
-            self.reply(
-                messages.Part(self.start.attempt, seq, data, last=False)
+            part = data[first : first + size]
+            await self._reply_paced(
+                messages.Part(self.start.attempt, seq, part, last=False)
             )
-        self.reply(messages.Part(self.start.attempt, seq + 1, b'', last=True))
+        return seq
 
     async def _wait(self) -> None:
         self._changed = anyio.Event()
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -21,7 +21,7 @@
 DEFAULT_QUEUE_TIME_S = 0.05
 DEFAULT_KEY_RETENTION_S = 86400.0
 DEFAULT_QUARANTINE_S = 600.0
-DEFAULT_MEASURING_WEIGHT = 0.5
+DEFAULT_SEATS = 32
 
 Field = inifile.Field
 
@@ -88,7 +88,8 @@
 class Link(_Object, frozen=True):
     """Describe the link between two regions and its budgets.
 
-    Budgets are bytes per second each way; money is per month.
+    Budgets are bytes per second each way; money is per month. The nodes
+    of one side that hold one of the seats share the side's budget.
     """
 
     name: str
@@ -98,6 +99,7 @@
     measuring_budget: float
     price_per_gb: float
     monthly_budget: float
+    seats: int = DEFAULT_SEATS
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field('regions', quantity.names, (), required=True),
@@ -106,6 +108,7 @@
         Field('measuring-budget', quantity.byte_rate, 0.0, required=True),
         Field('price-per-gb', float, 0.0),
         Field('monthly-budget', float, 0.0),
+        Field('seats', quantity.count, DEFAULT_SEATS),
     )
 
 
@@ -126,7 +129,6 @@
     cross_region: bool = True
     key_retention: float = DEFAULT_KEY_RETENTION_S
     quarantine: float = DEFAULT_QUARANTINE_S
-    measuring_weight: float = DEFAULT_MEASURING_WEIGHT
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field(
@@ -143,7 +145,6 @@
         Field('cross-region', quantity.flag, True),
         Field('key-retention', quantity.seconds, DEFAULT_KEY_RETENTION_S),
         Field('quarantine', quantity.seconds, DEFAULT_QUARANTINE_S),
-        Field('measuring-weight', quantity.fraction, DEFAULT_MEASURING_WEIGHT),
     )
 
 
--- /dev/null
+++ b/tests/connection/test_lease.py
@@ -0,0 +1,165 @@
+"""Check seats and shares: never two users of a seat, never over budget."""
+
+import random
+import unittest
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from jayflow.connection import lease
+from jayflow.connection import messages
+from jayflow.connection import platform as api
+from jayflow.connection import spending
+from jayflow.version import objects
+
+LINK = objects.Link('l', ('a', 'b'), 1e6, 80_000.0, 800.0, 0.0, 0.0, 8)
+FIXED = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=60,
+)
+
+
+class FakePlatform:
+    """Hold objects in memory; writes fail or lose answers on demand."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, api.Entry] = {}
+        self.revision = 0
+        self.is_down = False
+        self.loses_answers = False
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise api.UnavailableError
+
+    async def get(self, key):
+        self._check()
+        return self.entries.get(key)
+
+    async def list(self, prefix):
+        self._check()
+        return api.Listing(list(self.entries.values()), self.revision)
+
+    async def put(self, key, value, held):
+        self._check()
+        entry = self.entries.get(key)
+        if (entry.revision if entry else api.ABSENT) != held:
+            raise api.ConflictError
+        self.revision += 1
+        self.entries[key] = api.Entry(key, value, self.revision)
+        if self.loses_answers:
+            raise api.AmbiguousError
+        return self.revision
+
+    async def delete(self, key, held):
+        self._check()
+        if self.entries[key].revision != held:
+            raise api.ConflictError
+        del self.entries[key]
+
+
+def _run(coro):
+    """Run a coroutine that never really waits."""
+    try:
+        coro.send(None)
+    except StopIteration as done:
+        return done.value
+    raise AssertionError('the coroutine waits')
+
+
+class SeatMachine(stateful.RuleBasedStateMachine):
+    """Hold seats to: one user each, with three nodes and two seats."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.platform = FakePlatform()
+        self.holders = [self._holder(number) for number in range(3)]
+
+    def _holder(self, number):
+        holder = lease.SeatHolder(
+            self.platform,
+            messages.NodeId(f'n{number}'),
+            messages.Incarnation(number + 1),
+            random.Random(number),
+            lambda: self.now,
+        )
+        holder.use('l/a', 2)
+        return holder
+
+    @stateful.rule(number=st.integers(0, 2))
+    def step(self, number):
+        _run(self.holders[number].step())
+
+    @stateful.rule(number=st.integers(0, 2))
+    def release(self, number):
+        _run(self.holders[number].release())
+
+    @stateful.rule(number=st.integers(0, 2))
+    def restart(self, number):
+        self.holders[number] = self._holder(number)
+        self.holders[number]._incarnation += 10 * (1 + int(self.now * 1000))
+
+    @stateful.rule(later=st.sampled_from([0.5, 15.0, 30.0, 61.0, 70.0]))
+    def pass_time(self, later):
+        self.now += later
+
+    @stateful.rule(is_down=st.booleans(), loses=st.booleans())
+    def fault(self, is_down, loses):
+        self.platform.is_down = is_down
+        self.platform.loses_answers = loses
+
+    @stateful.invariant()
+    def a_seat_has_one_user(self):
+        users = [
+            holder._held.key
+            for holder in self.holders
+            if holder.is_held(self.now)
+        ]
+        assert len(users) == len(set(users)) <= 2
+
+
+class SeatTest(SeatMachine.TestCase):
+    settings = FIXED
+
+
+class _Holder:
+    def is_held(self, now):
+        return now < 100.0
+
+    def use(self, group, seats):
+        self.group = (group, seats)
+
+
+class SpendingTest(unittest.TestCase):
+    def setUp(self):
+        self.spender = spending.LinkSpender(_Holder())
+        self.spender.use(LINK, objects.RegionName('a'))
+
+    def test_no_second_holds_more_than_the_share(self):
+        rng = random.Random(1)
+        sent, now = [], 0.0
+        for _ in range(5000):
+            now += rng.expovariate(500)
+            size = rng.choice((10, 100, 1000, 5000))
+            if self.spender.may_send(size, now):
+                sent.append((now, spending.wire_bytes(size)))
+            if self.spender.may_measure(now):
+                sent.append((now, spending.LOAD_BYTES))
+        for at, _ in sent:
+            window = sum(n for when, n in sent if at - 1 < when <= at)
+            self.assertLessEqual(window, (80_000 + 800) / 8)
+        self.assertGreater(len(sent), 100)
+
+    def test_nothing_is_sent_without_a_seat(self):
+        self.assertFalse(self.spender.may_send(1, 100.0))
+        self.assertFalse(self.spender.may_measure(100.0))
+
+    def test_shares_add_up_to_the_budget(self):
+        shares = spending.Shares.from_link(LINK)
+        self.assertEqual(80_000.0, shares.traffic * LINK.seats)
+        self.assertEqual(800.0, shares.measuring * LINK.seats)
--- /dev/null
+++ b/tests/process/test_operators.py
@@ -0,0 +1,112 @@
+"""Check publishing, status and platform outages with live processes."""
+
+import json
+import subprocess
+import sys
+import threading
+import unittest
+
+from bench import stack as stacks
+
+BROKEN = stacks.OBJECTS.replace('policy = quick', 'policy = quack')
+
+
+class OperatorsTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.stack = cls.enterClassContext(stacks.Stack.open())
+        cls.stack.start_pairs(2)
+
+    def setUp(self):
+        self.path = self.stack.folder / 'objects.ini'
+        self.path.write_text(stacks.OBJECTS, encoding='utf-8')
+
+    def _run(self, name: str, *args: str) -> subprocess.CompletedProcess:
+        address = f'{stacks.HOST}:{self.stack.platform_port}'
+        return subprocess.run(
+            [sys.executable, '-m', 'jayflow', name]
+            + (['--platform', address] if name != 'check' else [])
+            + list(args),
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def _version(self) -> int:
+        return json.loads(self._run('status', '--json').stdout)['version']
+
+    def test_faulty_objects_are_not_published(self):
+        before = self._version()
+        self.path.write_text(BROKEN, encoding='utf-8')
+        for command in ('check', 'publish'):
+            done = self._run(command, str(self.path))
+            self.assertEqual(2, done.returncode)
+            self.assertEqual(3, done.stderr.count("no such object 'quack'"))
+        self.assertEqual(before, self._version())
+
+    def test_of_two_operators_one_loses_and_is_told(self):
+        before = self._version()
+        done = []
+        args = ('--based-on', str(before), '--note', 'race', str(self.path))
+        racers = [
+            threading.Thread(
+                target=lambda: done.append(self._run('publish', *args))
+            )
+            for _ in range(2)
+        ]
+        for racer in racers:
+            racer.start()
+        for racer in racers:
+            racer.join()
+        codes = sorted(each.returncode for each in done)
+        self.assertEqual([0, 3], codes, [each.stderr for each in done])
+        loser = max(done, key=lambda each: each.returncode)
+        self.assertIn(f'version {before + 1} was published by', loser.stderr)
+        self.assertEqual(before + 1, self._version())
+
+    def test_a_lost_answer_publishes_once(self):
+        before = self._version()
+        self.stack.set_fault('lost-answer')
+        done = self._run('publish', str(self.path))
+        self.stack.set_fault('none')
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertEqual(before + 1, self._version())
+
+    def test_status_waits_for_a_version(self):
+        done = self._run('publish', '--json', str(self.path))
+        version = str(json.loads(done.stdout)['version'])
+        done = self._run('status', '--wait', version)
+        self.assertEqual(0, done.returncode)
+        self.assertIn(f'version {version} in force, 0 draining', done.stdout)
+        late = str(int(version) + 1)
+        args = ('--wait', late, '--timeout', '300 ms')
+        self.assertEqual(4, self._run('status', *args).returncode)
+
+
+class OutageTest(unittest.TestCase):
+    def test_what_goes_on_and_what_waits(self):
+        with stacks.Stack.open() as stack:
+            stack.start_pairs(2, 'lookups,lists')
+            version = stack.nodes[0].status()['version']
+            stack.set_fault('down')
+            for node in stack.nodes:
+                self.assertEqual(200, stacks.call(node.http, '/lookup').status)
+            keyed = stacks.call(
+                stack.nodes[0].http,
+                '/lists',
+                'POST',
+                b'',
+                {'Idempotency-Key': 'k', 'jayflow-deadline-ms': '700'},
+            )
+            self.assertEqual(
+                ('not-run', 'key_unclaimed'), (keyed.outcome, keyed.reason)
+            )
+            unkeyed = stacks.call(stack.nodes[0].http, '/lists', 'POST')
+            self.assertEqual(200, unkeyed.status)
+            fresh = stack.start_node()
+            answer = stacks.call(fresh.http, '/lookup')
+            self.assertEqual('no_configuration', answer.reason)
+            stack.set_fault('none')
+            stacks.wait_until(lambda: fresh.status()['version'] == version)
+            stack.wait_members(2)
+            self.assertEqual(200, stacks.call(fresh.http, '/lookup').status)
--- a/tests/request/test_frames.py
+++ b/tests/request/test_frames.py
@@ -133,6 +133,7 @@
             lambda view, lane: wires[view.member.node],
             counting.Metrics(),
             rng,
+            objects.DataCentreName('dc'),
         )
         results = await asyncio.gather(
             *[
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -25,6 +25,7 @@
         1,
         (objects.ServiceName('s'),),
         10,
+        has_seat=changes.pop('has_seat', True),
     )
     load = messages.Load(running, 0, 10, 5.0, changes.pop('draining', False))
     made = routing.View(member, distance, load, NOW)
@@ -39,6 +40,7 @@
     ('same region', [view('a', REGION), view('b')], (), True, 'b'),
     ('far when alone', [view('a', FAR)], (), True, 'a'),
     ('far not allowed', [view('a', FAR)], (), False, None),
+    ('far without a seat', [view('a', FAR, has_seat=False)], (), True, None),
     ('tried', [view('a'), view('b', running=9)], ('a',), True, 'b'),
     ('leaving', [view('a', draining=True), view('b', running=9)], (), 1, 'b'),
     (
