Mend three checks that did not see a broken build

Cause: on a scratch copy eleven promises were broken one by one. Seen at once: an attempt started twice, not run after unknown, a key always free, a share ignored, a seat taken at once, work taken while draining, suspects beside others. Not seen: a revoke that promises while the attempt runs, a cut answer passed on, a seat used for two terms. Why: the ledger's machine had twelve ids and seldom met one three times; every fake answer was done before its revoke; the HTTP server's own length check hid a cut; the seat machine rarely met a hand-over. Change: three ids, slow fake answers, a cut answer of untold length, a hand-over spelt out step by step. All three are seen now.

--- a/jayflow/emulator/backend.py
+++ b/jayflow/emulator/backend.py
@@ -67,7 +67,8 @@
     """Serve requests as an ASGI application.
 
     Query parameters change one answer: bytes, ms (service time), status,
-    crash=1 (the process dies), cut=N (the answer ends after N bytes).
+    crash=1 (the process dies), cut=N (the answer ends after N bytes),
+    chunked=1 (the answer's length is not told).
     """
 
     def __init__(self, options: Options, rng: random.Random) -> None:
@@ -154,6 +155,8 @@
         cut = int(query.get('cut', size))
         status = int(query.get('status', 200))
         mark = query.get('mark', '') or scope['path']
+        if not query.get('chunked'):
+            rows.append((b'accept-ranges', b'bytes'))
         await _send_sized(send, status, rows, mark, size, cut, headers)
         self.started[index] = msgspec.structs.replace(run, done=True)
 
@@ -269,10 +272,9 @@
         status = 206
         span = f'bytes {first}-{size - 1}/{size}'
         rows.append((b'content-range', span.encode()))
-    rows += [
-        (b'etag', etag),
-        (b'content-length', str(size - first).encode()),
-    ]
+    if (b'accept-ranges', b'bytes') in rows:
+        length = str(size - first).encode()
+        rows += [(b'etag', etag), (b'content-length', length)]
     await send(
         {'type': 'http.response.start', 'status': status, 'headers': rows}
     )
--- a/tests/connection/test_lease.py
+++ b/tests/connection/test_lease.py
@@ -72,13 +72,13 @@
 
 
 class SeatMachine(stateful.RuleBasedStateMachine):
-    """Hold seats to: one user each, with three nodes and two seats."""
+    """Hold seats to: one user each, with two nodes and one seat."""
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
         self.platform = FakePlatform()
-        self.holders = [self._holder(number) for number in range(3)]
+        self.holders = [self._holder(number) for number in range(2)]
 
     def _holder(self, number):
         holder = lease.SeatHolder(
@@ -88,18 +88,18 @@
             random.Random(number),
             lambda: self.now,
         )
-        holder.use('l/a', 2)
+        holder.use('l/a', 1)
         return holder
 
-    @stateful.rule(number=st.integers(0, 2))
+    @stateful.rule(number=st.integers(0, 1))
     def step(self, number):
         _run(self.holders[number].step())
 
-    @stateful.rule(number=st.integers(0, 2))
+    @stateful.rule(number=st.integers(0, 1))
     def release(self, number):
         _run(self.holders[number].release())
 
-    @stateful.rule(number=st.integers(0, 2))
+    @stateful.rule(number=st.integers(0, 1))
     def restart(self, number):
         self.holders[number] = self._holder(number)
         self.holders[number]._incarnation += 10 * (1 + int(self.now * 1000))
@@ -120,7 +120,7 @@
             for holder in self.holders
             if holder.is_held(self.now)
         ]
-        assert len(users) == len(set(users)) <= 2
+        assert len(users) <= 1
 
 
 class SeatTest(SeatMachine.TestCase):
@@ -163,3 +163,31 @@
         shares = spending.Shares.from_link(LINK)
         self.assertEqual(80_000.0, shares.traffic * LINK.seats)
         self.assertEqual(800.0, shares.measuring * LINK.seats)
+
+
+class HandOverTest(unittest.TestCase):
+    def test_a_paused_holder_stops_before_another_starts(self):
+        now = 0.0
+        platform = FakePlatform()
+        first, second = (
+            lease.SeatHolder(
+                platform,
+                messages.NodeId(f'n{number}'),
+                messages.Incarnation(number),
+                random.Random(number),
+                lambda: now,
+            )
+            for number in (1, 2)
+        )
+        for holder in (first, second):
+            holder.use('l/a', 1)
+            _run(holder.step())
+        self.assertTrue(first.is_held(now))
+        users = []
+        for now in range(1, 130):
+            _run(second.step())
+            users.append(first.is_held(now) + second.is_held(now))
+        self.assertEqual({0, 1}, set(users))
+        self.assertTrue(second.is_held(now))
+        _run(first.step())
+        self.assertFalse(first.is_held(now))
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -125,10 +125,11 @@
                 self.assertEqual((status, b''), (answer.status, answer.body))
 
     def test_cut_answer_is_never_whole(self):
-        with self.assertRaises(http.client.IncompleteRead):
-            stacks.call(
-                self.stack.nodes[0].http, '/packs?bytes=900000&cut=500000'
-            )
+        for more in ('', '&chunked=1'):
+            path = f'/packs?bytes=900000&cut=500000{more}'
+            with self.subTest(path):
+                with self.assertRaises(http.client.IncompleteRead):
+                    stacks.call(self.stack.nodes[0].http, path)
 
     def test_deadline_is_an_honest_unknown(self):
         answer = stacks.call(
--- a/tests/request/test_frames.py
+++ b/tests/request/test_frames.py
@@ -21,6 +21,8 @@
 REQUESTS = 60
 SEEDS = (1, 2)
 LATE_S = 0.3
+QUICK_S = 0.005
+SLOW_S = 0.6
 FAULTS = [
     ('none', 0.0, 0.0, 0.0),
     ('lost', 0.2, 0.0, 0.0),
@@ -75,7 +77,7 @@
             while head := await reader.readuntil(b'\r\n\r\n'):
                 target = head.split(b' ')[1]
                 self.runs[target] += 1
-                await asyncio.sleep(0.005)
+                await asyncio.sleep(SLOW_S if b'7' in target else QUICK_S)
                 row = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b'
                 writer.write(row % (len(target), target))
         except (
@@ -141,7 +143,7 @@
                 for number in range(REQUESTS)
             ]
         )
-        await asyncio.sleep(2 * LATE_S)
+        await asyncio.sleep(2 * LATE_S + SLOW_S)
         return results
 
     async def _send(self, dispatcher, target, number):
@@ -185,5 +187,5 @@
                 self.assertEqual(0, runs, (req.target, result))
             if isinstance(result, dispatch.Answer):
                 self.assertEqual(req.target, result.data)
-            if title == 'none':
+            if title == 'none' and b'7' not in req.target:
                 self.assertIsInstance(result, dispatch.Answer)
--- a/tests/request/test_machines.py
+++ b/tests/request/test_machines.py
@@ -21,7 +21,7 @@
     max_examples=60,
     stateful_step_count=40,
 )
-IDS = st.builds(messages.AttemptId, st.integers(1, 2), st.integers(1, 6))
+IDS = st.builds(messages.AttemptId, st.just(1), st.integers(1, 3))
 State = messages.AttemptState
 
 
