--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     'overload': 'goodput, tries and neighbours, virtual time',
     'fleet': 'cost of a node as the fleet grows',
     'measuring': 'bytes over a link in a rush, against its budgets',
+    'sizes': 'bytes of state per service, member, attempt and key',
     'hop': 'latency that two nodes add to a call',
 }
 
--- a/jayflow/connection/lease.py
+++ b/jayflow/connection/lease.py
@@ -20,6 +20,7 @@
 TERM_S = 60.0
 RENEW_S = 20.0
 MARGIN_S = 2.0
+LOOK_S = 120.0
 PREFIX = 'seats/'
 
 
@@ -65,6 +66,7 @@
         self._sightings = Sightings()
         self._held: api.Entry | None = None
         self._held_until = 0.0
+        self._look_at = 0.0
         self.group = ''
         self.seats = 0
 
@@ -76,12 +78,14 @@
         """Set the group of seats; a seat of another group is dropped."""
         if group != self.group or seats < self.seats:
             self._held, self._held_until = None, 0.0
+            self._look_at = 0.0
         self.group, self.seats = group, seats
 
     async def step(self) -> None:
         """Take a seat, or renew it when that is due."""
         now = self._clock()
-        if not self.group or now < self._held_until - TERM_S + RENEW_S:
+        is_early = now < self._held_until - TERM_S + RENEW_S
+        if not self.group or is_early or now < self._look_at:
             return
         try:
             if self._held is not None and self.is_held(now):
@@ -117,6 +121,8 @@
         ]
         if free:
             await self._write(free[0], by_key.get(free[0]))
+        else:
+            self._look_at = now + self._rng.uniform(0.5, 1.0) * LOOK_S
 
     async def _write(self, key: str, before: api.Entry | None) -> None:
         term = 1
--- a/jayflow/process/directory.py
+++ b/jayflow/process/directory.py
@@ -56,6 +56,7 @@
         view = routing.View(member, self._distance(member))
         if before and before.member.incarnation == member.incarnation:
             before.member = member
+            before.distance = view.distance
             before.load = None
             view = before
         self._forget(member.node)
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -14,7 +14,6 @@
 
     NOT_RUN = 'not_run'
     LOST_ANSWER = 'lost_answer'
-    SERVER_ERROR = 'server_error'
     SERVER_CRASHED = 'server_crashed'
     CUT_ANSWER = 'cut_answer'
     TRY_TIMEOUT = 'try_timeout'
--- /dev/null
+++ b/tests/process/test_directory.py
@@ -0,0 +1,88 @@
+"""Check what a node takes from others: versions only rise."""
+
+import unittest
+
+from jayflow.connection import member as members
+from jayflow.connection import messages
+from jayflow import metrics as counting
+from jayflow.process import directory
+from jayflow.request import routing
+from jayflow.version import checks
+from jayflow.version import objects
+from jayflow.version import snapshot
+
+TEXT = """[region r1]
+[region r2]
+[data_centre a]
+region = r1
+[data_centre b]
+region = r1
+[data_centre c]
+region = r2
+"""
+
+
+def member(node: str, centre: str, **changes) -> members.Member:
+    """Return a member that serves one service."""
+    values = {'services': ('s',), 'slots': 4, 'incarnation': 1}
+    return members.Member(
+        node=messages.NodeId(node),
+        data_centre=objects.DataCentreName(centre),
+        host='127.0.0.1',
+        port=1,
+        **(values | changes),
+    )
+
+
+class VersionHolderTest(unittest.TestCase):
+    def test_a_version_never_falls(self):
+        seen = []
+        holder = directory.VersionHolder(
+            counting.Metrics(), lambda version: seen.append(version.number)
+        )
+        for number in (1, 3, 2, 3, 1, 4, 0):
+            holder.apply(snapshot.Version(number, objects.Objects()))
+        self.assertEqual([1, 3, 4], seen)
+        self.assertEqual(4, holder.current.number)
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = directory.Directory('me', 'a')
+        self.directory.use(checks.load([('f', TEXT)]))
+
+    def test_distances(self):
+        cases = [
+            ('a', routing.Distance.DATA_CENTRE),
+            ('b', routing.Distance.REGION),
+            ('c', routing.Distance.FAR),
+            ('unknown', routing.Distance.FAR),
+        ]
+        for centre, expected in cases:
+            with self.subTest(centre):
+                self.directory.put(member('n', centre))
+                found = self.directory.view('n').distance
+                self.assertIs(expected, found)
+
+    def test_members_come_drain_and_go(self):
+        def serving():
+            return len(self.directory.views_of('s'))
+
+        self.directory.put(member('n1', 'a'))
+        self.directory.put(member('n2', 'a'))
+        self.assertEqual(2, serving())
+        self.directory.put(member('n1', 'a', draining=True))
+        self.assertEqual(1, serving())
+        self.directory.put(member('n1', 'a'))
+        self.directory.remove('n2')
+        self.directory.remove('n2')
+        self.assertEqual(1, serving())
+
+    def test_a_new_incarnation_is_known_afresh(self):
+        self.directory.put(member('n', 'a'))
+        before = self.directory.view('n')
+        before.observe_failure(1.0)
+        self.directory.put(member('n', 'a', draining=True))
+        self.assertIs(before, self.directory.view('n'))
+        self.directory.put(member('n', 'a', incarnation=2))
+        self.assertEqual(0, self.directory.view('n').failures)
--- /dev/null
+++ b/tests/test_structure.py
@@ -0,0 +1,53 @@
+"""Hold the import direction between life spans and the operators' page."""
+
+import ast
+import pathlib
+import unittest
+
+from jayflow import metrics as counting
+from jayflow.process import settings
+from jayflow.request import outcome
+from jayflow.request import retry
+from jayflow.version import objects
+
+ROOT = pathlib.Path(__file__).parents[1]
+LAYERS = ('version', 'connection', 'request', 'process')
+PAGE = (ROOT / 'docs' / 'OPERATING.md').read_text(encoding='utf-8')
+
+
+def _imported(path: pathlib.Path) -> set[str]:
+    """Return the layers that a module imports from."""
+    tree = ast.parse(path.read_text(encoding='utf-8'))
+    names = [
+        node.module
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom) and node.module
+    ]
+    return {
+        parts[1]
+        for name in names
+        if (parts := name.split('.'))[0] == 'jayflow' and len(parts) > 1
+    }
+
+
+class StructureTest(unittest.TestCase):
+    def test_a_layer_imports_only_longer_lived_values(self):
+        for index, layer in enumerate(LAYERS):
+            allowed = set(LAYERS[: index + 1])
+            for path in (ROOT / 'jayflow' / layer).glob('*.py'):
+                with self.subTest(path=path.name):
+                    self.assertLessEqual(_imported(path), allowed)
+
+    def test_the_operators_page_names_every_counter(self):
+        names = [f'refused.{reason.value}' for reason in outcome.Reason]
+        names += [f'retried.{reason.value}' for reason in retry.RetryReason]
+        names += [event.value for event in counting.Event]
+        missing = [name for name in names if f'`{name}`' not in PAGE]
+        self.assertEqual([], missing)
+
+    def test_the_operators_page_names_every_setting_and_object_key(self):
+        fields = [each for rows in settings.FIELDS.values() for each in rows]
+        for kind in objects.KINDS.values():
+            fields += kind.FIELDS
+        missing = [f.key for f in fields if f'`{f.key}`' not in PAGE]
+        self.assertEqual([], missing)
