Tell a forced stop as unknown, and test saves that are sent again

Cause: test_keys for a second signal failed first: the caller of a cut request got uvicorn's plain 500 without an outcome. A forced stop and a fault in the node end as unknown problem documents now, the fault with its trace in the log. Also tested: re-sends through other nodes, nine at one moment, after the claimant or the server died, a save that did not run and then may; the mark that keeps layers from multiplying tries; the deadline's way to the server. All passed at first.

--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -28,17 +28,17 @@
 
     def __init__(self) -> None:
         self._on_lost: Callable[[], None] | None = None
-        self._is_lost = False
+        self.is_lost = False
 
     def listen(self, on_lost: Callable[[], None] | None) -> None:
         """Set what to call; at once when the connection is lost already."""
         self._on_lost = on_lost
-        if self._is_lost and on_lost is not None:
+        if self.is_lost and on_lost is not None:
             on_lost()
 
     def fire(self) -> None:
         """Say that the connection is lost."""
-        self._is_lost = True
+        self.is_lost = True
         if self._on_lost is not None:
             self._on_lost()
 
--- a/jayflow/emulator/backend.py
+++ b/jayflow/emulator/backend.py
@@ -34,6 +34,7 @@
 DEFAULT_ANSWER_BYTES = 1024
 MAX_SERVICE_S = 60.0
 KEY_HEADER = b'idempotency-key'
+DEADLINE_HEADER = b'jayflow-deadline-ms'
 MARK_HEADER = b'x-mark'
 
 
@@ -68,7 +69,8 @@
 
     Query parameters change one answer: bytes, ms (service time), status,
     crash=1 (the process dies), cut=N (the answer ends after N bytes),
-    chunked=1 (the answer's length is not told).
+    chunked=1 (the answer's length is not told), tried=1 (a node below has
+    tried elsewhere already).
     """
 
     def __init__(self, options: Options, rng: random.Random) -> None:
@@ -151,6 +153,10 @@
             (b'x-body-sha256', digest.encode()),
             (b'x-body-length', str(length).encode()),
         ]
+        if DEADLINE_HEADER in headers:
+            rows.append((b'x-deadline-ms', headers[DEADLINE_HEADER]))
+        if query.get('tried'):
+            rows.append((b'jayflow-tried', b'1'))
         size = min(int(query.get('bytes', DEFAULT_ANSWER_BYTES)), 10**9)
         cut = int(query.get('cut', size))
         status = int(query.get('status', 200))
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -62,11 +62,29 @@
         disconnect = scope['extensions'][http_server.DISCONNECT]
         with anyio.CancelScope() as cancel:
             disconnect.listen(cancel.cancel)
-            await self._serve(scope, body, send)
+            await self._serve_whole(scope, body, send)
         disconnect.listen(None)
         if cancel.cancelled_caught:
             self._metrics.event(counting.Event.CALLER_GONE)
 
+    async def _serve_whole(self, scope, body: '_Body', send) -> None:
+        """Serve so that a fault or a forced stop is told as unknown.
+
+        When the answer has started, the send fails and the connection is
+        closed, which shows the caller that the answer was cut.
+        """
+        try:
+            await self._serve(scope, body, send)
+        except anyio.get_cancelled_exc_class():
+            if not scope['extensions'][http_server.DISCONNECT].is_lost:
+                await self._send_problem(
+                    outcome.Unknown(Reason.NODE_STOPPING), send
+                )
+            raise
+        except Exception:
+            self._log.exception('Request failed in the node.')
+            await self._send_problem(outcome.Unknown(Reason.NODE_FAULT), send)
+
     async def _serve(self, scope, body: '_Body', send) -> None:
         found = self._request(scope, body)
         if not isinstance(found, dispatch.Request):
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -41,6 +41,7 @@
     KEY_OUTCOME_UNKNOWN = 'key_outcome_unknown'
     KEY_MISMATCH = 'key_mismatch'
     QUARANTINED = 'quarantined'
+    NODE_FAULT = 'node_fault'
     NODE_STOPPING = 'node_stopping'
     DRAINING = 'draining'
     NOT_SERVED_HERE = 'not_served_here'
