Split one attempt, its answer and the request out of the dispatcher

One attempt is a class of its own now, with what it has seen (link lost, revoking) as state; answer and request are modules of their own. Found in the reading: a refusal by a new incarnation was taken for proof even when the link had been cut after the Start was sent; the former incarnation may have had it. It ends as unknown then.

--- a/bench/stack.py
+++ b/bench/stack.py
@@ -226,6 +226,12 @@
         """Return one of the node's counters."""
         return self.status()['counters'].get(name, 0)
 
+    def has_started(self) -> bool:
+        """Return whether the node answers; RuntimeError when it ended."""
+        if not self.process.is_running:
+            raise RuntimeError(self.process.log.read_text()[-2000:])
+        return self.is_up()
+
     def is_up(self) -> bool:
         """Return whether the node answers on its announce address."""
         try:
@@ -301,7 +307,7 @@
             self._launch_node(data_centre, stop_limit) for _ in range(count)
         ]
         for node in started:
-            wait_until(node.is_up, NODES_START_LIMIT_S)
+            wait_until(node.has_started, NODES_START_LIMIT_S)
         return started
 
     def _launch_node(self, data_centre: str, stop_limit: str) -> Node:
--- a/jayflow/logs.py
+++ b/jayflow/logs.py
@@ -28,7 +28,6 @@
 
     NODE = 'node'
     DOOR = 'door'
-    DISPATCH = 'dispatch'
     INGRESS = 'ingress'
     MEMBERS = 'members'
     CONFIG = 'config'
--- /dev/null
+++ b/jayflow/request/attempt.py
@@ -0,0 +1,253 @@
+"""Carry out one attempt at one door and say what became of it."""
+
+import time
+
+import anyio
+
+from jayflow.connection import messages
+from jayflow.connection import sockets
+from jayflow.request import admission
+from jayflow.request import answer as answers
+from jayflow.request import exchange as exchanges
+from jayflow.request import inbound
+from jayflow.request import outcome
+from jayflow.request import routing
+from jayflow.version import objects
+
+Reason = outcome.Reason
+Result = answers.Answer | outcome.Failure
+
+CONNECT_TIMEOUT_S = 0.25
+REVOKE_TIMEOUT_S = 0.25
+CREDIT_TIMEOUT_S = 30.0
+PACE_S = 0.02
+FIRST_ERROR_STATUS = 500
+RETRY_STATUSES = frozenset({429, 502, 503, 504})
+_COOLING = frozenset(
+    {
+        Reason.PEER_INCARNATION,
+        Reason.NOT_SERVED_HERE,
+        Reason.SERVER_UNREACHABLE,
+    }
+)
+
+
+class Attempt:
+    """Follow one attempt from its Start to its answer or failure."""
+
+    def __init__(
+        self,
+        req: inbound.Request,
+        view: routing.View,
+        exchange: exchanges.Exchange,
+    ) -> None:
+        self._req = req
+        self._view = view
+        self._exchange = exchange
+        self._is_revoking = False
+        self._was_link_lost = False
+        self._begun = time.monotonic()
+        self._limit_s = req.remaining_s()
+        if req.repeatable and not req.is_suspect:
+            self._limit_s = min(self._limit_s, req.policy.try_timeout)
+
+    def send_start(self, origin: objects.DataCentreName) -> None:
+        """Send the Start; LinkDownError proves that it never left."""
+        req = self._req
+        start = messages.Start(
+            attempt=self._exchange.attempt,
+            door=self._view.member.incarnation,
+            service=req.service,
+            method=req.method,
+            target=req.target,
+            headers=req.headers,
+            body=req.body,
+            more=req.more,
+            remaining_ms=max(0, int(req.remaining_s() * 1000)),
+            rank=admission.RANKS.index(req.policy.request_class),
+            queue_ms=int(req.policy.queue_time * 1000),
+            queue_length=req.policy.queue_length,
+            repeatable=req.repeatable,
+            fingerprint=req.fingerprint,
+            suspect=req.is_suspect,
+            origin=origin,
+        )
+        self._exchange.wire.send(start)
+
+    async def wait_answer(self) -> Result:
+        """Wait until it is answered, refused, broken or given up."""
+        while True:
+            left_s = self._begun + self._limit_s - time.monotonic()
+            wait_s = REVOKE_TIMEOUT_S if self._is_revoking else left_s
+            message = await self._exchange.next(max(0.0, wait_s))
+            result = await self._take(message, left_s <= 0)
+            if result is not None:
+                return result
+
+    async def _take(self, message, is_late: bool) -> Result | None:
+        """Return what a message decides; None means nothing arrived."""
+        match message:
+            case messages.Head():
+                return self._answered(message)
+            case messages.Refused():
+                return self._refused(message)
+            case messages.Broken():
+                self._observe(message.load)
+                self._view.observe_failure(time.monotonic())
+                return outcome.Unknown(Reason(message.reason))
+            case messages.Credit():
+                await self._send_body()
+            case messages.Revoked():
+                return self._revoked(message, is_late)
+            case None if self._is_revoking or self._req.is_body_started:
+                return self._silent()
+            case None:
+                return await self._revoke()
+            case exchanges.LinkLost():
+                self._was_link_lost = True
+                return await self._revoke()
+        return None
+
+    def _answered(self, head: messages.Head) -> answers.Answer:
+        now = time.monotonic()
+        self._observe(head.load)
+        answer = answers.Answer(
+            head, self._exchange, self._view.member.node, self.end
+        )
+        is_error = head.status >= FIRST_ERROR_STATUS
+        if is_error or head.status in RETRY_STATUSES:
+            self._view.observe_failure(now, answer.retry_after_s)
+        else:
+            self._view.observe_answer(now - self._begun)
+        return answer
+
+    def _refused(self, message: messages.Refused) -> outcome.Failure:
+        self._observe(message.load)
+        reason = Reason(message.reason)
+        if reason in _COOLING:
+            self._view.observe_failure(time.monotonic())
+        if reason is Reason.FORGOTTEN:
+            return outcome.Unknown(reason)
+        if reason is Reason.PEER_INCARNATION and self._was_link_lost:
+            # The former incarnation may have had the Start as well.
+            return outcome.Unknown(reason)
+        return outcome.NotRun(reason, outcome.Evidence.REFUSED_BEFORE_START)
+
+    async def _revoke(self) -> outcome.Unknown | None:
+        """Ask the door never to start this, or give up on a dead link."""
+        if not await is_ready(self._exchange.wire, REVOKE_TIMEOUT_S):
+            return self._silent()
+        self._is_revoking = True
+        self._send_quietly(
+            messages.Revoke(
+                self._exchange.attempt, self._view.member.incarnation
+            )
+        )
+        return None
+
+    def _revoked(
+        self, message: messages.Revoked, is_late: bool
+    ) -> outcome.Failure | None:
+        self._observe(message.load)
+        self._is_revoking = False
+        match message.state:
+            case messages.AttemptState.NEVER_STARTED:
+                return outcome.NotRun(
+                    Reason.REVOKED, outcome.Evidence.REVOKED_BEFORE_START
+                )
+            case messages.AttemptState.RUNNING:
+                return self._silent() if is_late else None
+            case messages.AttemptState.DONE:
+                return outcome.Unknown(Reason.ANSWER_CUT)
+            case messages.AttemptState.FORGOTTEN:
+                return outcome.Unknown(Reason.FORGOTTEN)
+            case messages.AttemptState.OTHER_INCARNATION:
+                return outcome.Unknown(Reason.PEER_INCARNATION)
+
+    def _silent(self) -> outcome.Unknown:
+        self._view.observe_failure(time.monotonic())
+        self.cancel()
+        if self._req.remaining_s() <= 0:
+            return outcome.Unknown(Reason.DEADLINE)
+        return outcome.Unknown(Reason.PEER_SILENT)
+
+    def cancel(self) -> None:
+        """Tell the door that nobody waits."""
+        self._send_quietly(messages.Cancel(self._exchange.attempt))
+
+    def end(self) -> None:
+        """Forget the attempt; its later messages are dropped."""
+        self._view.ended(time.monotonic())
+        self._exchange.close()
+
+    def _observe(self, load: messages.Load | None) -> None:
+        """Take a load report; over a far link it can be left out."""
+        if load is not None:
+            self._view.observe_load(load, time.monotonic())
+
+    def _send_quietly(self, message: messages.ToDoor) -> None:
+        try:
+            self._exchange.wire.send(message)
+        except sockets.LinkDownError:
+            return
+
+    async def _send_body(self) -> None:
+        """Send the body's later parts as the door grants credit."""
+        req = self._req
+        if req.is_body_started:
+            return
+        req.is_body_started = True
+        seq, credit, more = 0, messages.WINDOW_PARTS, req.more
+        while more:
+            data, more = await req.read_body()
+            for part in _split(data):
+                while credit < 1:
+                    granted = await self._next_credit()
+                    if not granted:
+                        return
+                    credit += granted
+                if not await self._send_part(seq, part, last=False):
+                    return
+                seq, credit = seq + 1, credit - 1
+        await self._send_part(seq, b'', last=True)
+
+    async def _next_credit(self) -> int:
+        """Return the credit granted next, 0 when something else came."""
+        message = await self._exchange.next(CREDIT_TIMEOUT_S)
+        if isinstance(message, messages.Credit):
+            return message.parts
+        if message is not None:
+            self._exchange.deliver(message)
+        return 0
+
+    async def _send_part(self, seq: int, data: bytes, last: bool) -> bool:
+        """Send a body part once the link's budget allows it.
+
+        The attempt has started: a part that can't be sent is a lost link,
+        it says nothing on whether the request ran.
+        """
+        part = messages.BodyPart(self._exchange.attempt, seq, data, last)
+        while True:
+            try:
+                self._exchange.wire.send(part)
+                return True
+            except sockets.LinkBudgetError:
+                await anyio.sleep(PACE_S)
+            except sockets.LinkDownError:
+                self._exchange.deliver(exchanges.LinkLost())
+                return False
+
+
+async def is_ready(wire: exchanges.Wire, limit_s: float) -> bool:
+    """Return whether a wire can send, after a bounded wait."""
+    if wire.is_up:
+        return True
+    with anyio.move_on_after(max(0.0, limit_s)):
+        await wire.wait_ready()
+        return True
+    return False
+
+
+def _split(data: bytes) -> list[bytes]:
+    size = messages.PART_BYTES
+    return [data[start : start + size] for start in range(0, len(data), size)]
--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import collections
-from typing import Protocol
+from collections.abc import Callable
+from typing import Protocol, Self
 
 from jayflow.connection import messages
 from jayflow import metrics as counting
@@ -29,9 +30,15 @@
 class Exchange:
     """Receive the messages of one attempt."""
 
-    def __init__(self, attempt: messages.AttemptId, wire: Wire) -> None:
+    def __init__(
+        self,
+        attempt: messages.AttemptId,
+        wire: Wire,
+        on_close: Callable[[Self], None],
+    ) -> None:
         self.attempt = attempt
         self.wire = wire
+        self._on_close = on_close
         self._messages: collections.deque = collections.deque()
         self._waiter: asyncio.Future | None = None
 
@@ -40,6 +47,10 @@
         self._messages.append(message)
         self._wake()
 
+    def close(self) -> None:
+        """Forget the exchange; its later messages are dropped."""
+        self._on_close(self)
+
     async def next(self, timeout_s: float):
         """Return the next message, or None when the time is over."""
         if not self._messages:
@@ -75,12 +86,11 @@
         """Return the exchange of a new attempt."""
         self._count += 1
         attempt = messages.AttemptId(self._incarnation, self._count)
-        exchange = Exchange(attempt, wire)
+        exchange = Exchange(attempt, wire, self._close)
         self._open[attempt] = exchange
         return exchange
 
-    def close(self, exchange: Exchange) -> None:
-        """Forget an exchange; its later messages are dropped."""
+    def _close(self, exchange: Exchange) -> None:
         self._open.pop(exchange.attempt, None)
 
     def deliver(self, message: messages.ToSender) -> None:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -9,8 +9,10 @@
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as counting
+from jayflow.request import answer as answers
 from jayflow.request import dispatch
 from jayflow.request import headers as http
+from jayflow.request import inbound
 from jayflow.request import keyed
 from jayflow.request import outcome
 from jayflow.request import problem
@@ -87,7 +89,7 @@
 
     async def _serve(self, scope, body: '_Body', send) -> None:
         found = self._request(scope, body)
-        if not isinstance(found, dispatch.Request):
+        if not isinstance(found, inbound.Request):
             await self._send_problem(found, send)
             return
         try:
@@ -95,7 +97,7 @@
         except CallerGoneError:
             self._metrics.refused(Reason.BODY_CUT)
             return
-        if isinstance(result, dispatch.Answer):
+        if isinstance(result, answers.Answer):
             await self._send_answer(scope, found, result, send)
         elif isinstance(result, keyed.StoredAnswer):
             await self._send_stored(scope, result, send)
@@ -103,7 +105,7 @@
             await self._send_problem(result, send)
 
     async def _run(
-        self, req: dispatch.Request, key: bytes | None
+        self, req: inbound.Request, key: bytes | None
     ) -> keyed.Result:
         """Run a request; a keyed one goes on when its caller is gone."""
         if key is None:
@@ -113,7 +115,7 @@
 
     def _request(
         self, scope, body: '_Body'
-    ) -> dispatch.Request | outcome.Failure:
+    ) -> inbound.Request | outcome.Failure:
         version = self._version()
         if version.number == snapshot.NO_VERSION:
             return _never_sent(Reason.NO_CONFIGURATION)
@@ -135,7 +137,7 @@
         target = scope['raw_path']
         if scope['query_string']:
             target += b'?' + scope['query_string']
-        return dispatch.Request(
+        return inbound.Request(
             service=route.service,
             policy=policy,
             method=scope['method'],
@@ -161,7 +163,7 @@
         self._metrics.event(counting.Event.ANSWERED)
 
     async def _send_answer(
-        self, scope, req: dispatch.Request, answer: dispatch.Answer, send
+        self, scope, req: inbound.Request, answer: answers.Answer, send
     ) -> None:
         try:
             headers = self._answer_headers(scope, answer, answer.is_whole)
@@ -170,7 +172,7 @@
             async for data, more in self._dispatcher.read_on(req, answer):
                 await _send_body(send, data, more)
             self._metrics.event(counting.Event.ANSWERED)
-        except dispatch.AnswerCutError:
+        except answers.AnswerCutError:
             self._metrics.refused(Reason.ANSWER_CUT)
             self._metrics.event(counting.Event.ANSWER_ABORTED)
             self._log.warning('Answer was cut, caller aborted.')
@@ -180,7 +182,7 @@
     def _answer_headers(
         self,
         scope,
-        answer: dispatch.Answer | keyed.StoredAnswer,
+        answer: answers.Answer | keyed.StoredAnswer,
         is_whole: bool,
     ) -> messages.Headers:
         headers = http.forwarded(answer.headers)
@@ -250,7 +252,7 @@
     return not _is_repeatable(route, method)
 
 
-def _key_of(scope, req: dispatch.Request) -> bytes | None:
+def _key_of(scope, req: inbound.Request) -> bytes | None:
     """Return the key of a request that must run at most once."""
     if req.repeatable or not req.is_keyed:
         return None
--- a/jayflow/request/keyed.py
+++ b/jayflow/request/keyed.py
@@ -16,9 +16,11 @@
 from jayflow.connection import messages
 from jayflow.connection import sockets
 from jayflow import metrics as counting
+from jayflow.request import answer as answers
 from jayflow.request import claims
 from jayflow.request import dispatch
 from jayflow.request import exchange as exchanges
+from jayflow.request import inbound
 from jayflow.request import keys
 from jayflow.request import outcome
 from jayflow.request import owners
@@ -94,7 +96,7 @@
         node: messages.NodeId,
         incarnation: messages.Incarnation,
         claim: owners.ClaimOwn,
-        run: Callable[[dispatch.Request], Awaitable[dispatch.Result]],
+        run: Callable[[inbound.Request], Awaitable[dispatch.Result]],
         open_exchanges: exchanges.Exchanges,
         wire_to: WireTo,
         metrics: counting.Metrics,
@@ -109,7 +111,7 @@
         self._metrics = metrics
         self._count = 0
 
-    async def run(self, req: dispatch.Request, key: bytes) -> Result:
+    async def run(self, req: inbound.Request, key: bytes) -> Result:
         """Return the one outcome of a keyed request."""
         if req.more:
             return _never_sent(Reason.BODY_TOO_LARGE)
@@ -136,7 +138,7 @@
             supersedes = found.held
         return _never_sent(Reason.KEY_UNCLAIMED)
 
-    def _new_claim(self, req: dispatch.Request) -> claims.Claim:
+    def _new_claim(self, req: inbound.Request) -> claims.Claim:
         self._count += 1
         claim = claims.Claim(
             self._node, self._incarnation, self._count, req.fingerprint
@@ -145,7 +147,7 @@
         return claim
 
     async def _run_claimed(
-        self, req: dispatch.Request, claim: claims.Claim
+        self, req: inbound.Request, claim: claims.Claim
     ) -> dispatch.Result:
         result: dispatch.Result | None = None
         try:
@@ -157,7 +159,7 @@
     def _remember_result(
         self, claim: claims.Claim, result: dispatch.Result | None
     ) -> None:
-        is_answer = isinstance(result, dispatch.Answer)
+        is_answer = isinstance(result, answers.Answer)
         if isinstance(result, outcome.NotRun) or (
             is_answer and result.is_shed
         ):
@@ -181,7 +183,7 @@
         self.memory.put(claim.count, _key_answer(attempt, state))
 
     async def _await_claimant(
-        self, req: dispatch.Request, held: claims.Claim
+        self, req: inbound.Request, held: claims.Claim
     ) -> Result | _End:
         """Return how the claimed request ended, once it has."""
         while True:
@@ -227,7 +229,7 @@
         except (TimeoutError, sockets.LinkDownError):
             return _unheard()
         finally:
-            self._exchanges.close(exchange)
+            exchange.close()
         return _unheard()
 
 
--- a/jayflow/request/owners.py
+++ b/jayflow/request/owners.py
@@ -112,7 +112,7 @@
         except (TimeoutError, sockets.LinkDownError):
             return None
         finally:
-            self._exchanges.close(exchange)
+            exchange.close()
         if not isinstance(message, messages.ClaimAnswer):
             return None
         state = keys.ClaimState(message.state)
--- a/tests/request/test_frames.py
+++ b/tests/request/test_frames.py
@@ -11,9 +11,11 @@
 from jayflow.connection import messages
 from jayflow.connection import sockets
 from jayflow import metrics as counting
+from jayflow.request import answer as answers
 from jayflow.request import dispatch
 from jayflow.request import door as doors
 from jayflow.request import exchange as exchanges
+from jayflow.request import inbound
 from jayflow.request import outcome
 from jayflow.request import routing
 from jayflow.version import objects
@@ -148,7 +150,7 @@
 
     async def _send(self, dispatcher, target, number):
         await asyncio.sleep(number * 0.01)
-        req = dispatch.Request(
+        req = inbound.Request(
             service=objects.ServiceName('s'),
             policy=POLICY,
             method='POST',
@@ -162,7 +164,7 @@
             fingerprint=target,
         )
         result = await dispatcher.run(req)
-        if isinstance(result, dispatch.Answer):
+        if isinstance(result, answers.Answer):
             result.close()
         return req, result
 
@@ -185,7 +187,7 @@
                 self.assertLessEqual(runs, 1, req.target)
             if isinstance(result, outcome.NotRun):
                 self.assertEqual(0, runs, (req.target, result))
-            if isinstance(result, dispatch.Answer):
+            if isinstance(result, answers.Answer):
                 self.assertEqual(req.target, result.data)
             if title == 'none' and b'7' not in req.target:
-                self.assertIsInstance(result, dispatch.Answer)
+                self.assertIsInstance(result, answers.Answer)
