Wait for a node's first version, and let a cut far link be heard

Causes: - A run of the tests from a fresh clone failed once (77 of 78): in a rolling restart one lookup got 503 no_configuration from a node that had started and not yet read the version. Ruled out: the stop itself (the node was up again). Change besides: the crash watch is a module of its own, out of the door.

--- a/jayflow/connection/sockets.py
+++ b/jayflow/connection/sockets.py
@@ -144,6 +144,11 @@
         self.lost_count = 0
         socket.connect(address)
 
+    @property
+    def carrier(self) -> Self:
+        """Return the link itself."""
+        return self
+
     @property
     def is_up(self) -> bool:
         """Return whether the link was connected when last heard."""
--- a/jayflow/process/crossing.py
+++ b/jayflow/process/crossing.py
@@ -26,6 +26,11 @@
         self._link = link
         self._spender = spender
 
+    @property
+    def carrier(self) -> sockets.Link:
+        """Return the link that carries the messages."""
+        return self._link
+
     @property
     def is_up(self) -> bool:
         """Return whether the link is connected."""
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -62,6 +62,11 @@
         """Hand a message to the door at once."""
         self._door.handle(message, self._deliver)
 
+    @property
+    def carrier(self) -> Self:
+        """Return the wire itself."""
+        return self
+
     @property
     def is_up(self) -> bool:
         """Return that a message can always be sent."""
@@ -145,8 +150,8 @@
             self._rng,
         )
         self._door.on_change = self._own_changed
-        self._door.spread = self._spread_crash
-        self._door.quarantine_s = self._quarantine_s
+        self._door.crashes.spread = self._spread_crash
+        self._door.crashes.quarantine_s = self._quarantine_s
         self._door.link_to = self._link_to
         self._crossings = crossing.Crossings(
             self._platform_at(cfg.calls_per_s),
@@ -243,7 +248,7 @@
     async def _run_housekeeping(self) -> None:
         while True:
             await anyio.sleep(HOUSEKEEPING_S)
-            self._links.close_idle(lambda link: False)
+            self._links.close_idle(self._exchanges.is_using)
 
     def _platform_at(self, calls_per_s: int) -> api.Platform:
         """Return a client of the platform with a call budget of its own."""
@@ -415,8 +420,10 @@
                 queued=load.queued,
                 draining=load.draining,
                 stopping=self._door.is_stopping,
-                suspects=self._door.quarantine.count(standing.SUSPECT, now),
-                quarantined=self._door.quarantine.count(
+                suspects=self._door.crashes.quarantine.count(
+                    standing.SUSPECT, now
+                ),
+                quarantined=self._door.crashes.quarantine.count(
                     standing.CONVICTED, now
                 ),
                 links=self._crossings.status(),
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
-import secrets
 import time
 
 import anyio
@@ -19,6 +17,7 @@
 from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.request import admission
+from jayflow.request import crashes
 from jayflow.request import ledger as attempts
 from jayflow.request import outcome
 from jayflow.request import quarantine
@@ -27,7 +26,6 @@
 
 Reason = outcome.Reason
 Reply = Callable[[messages.ToSender], None]
-Spread = Callable[[messages.Crashing], Awaitable[None]]
 
 LinkTo = Callable[[str], spending.LinkSpender | None]
 
@@ -37,10 +35,6 @@
 IDLE_TICK_S = 0.05
 SUSPECT_WAIT_S = 2.0
 COLD_SLOT_SHARE = 0.25
-CRASH_PROBE_S = 0.02
-CRASH_PROBES = 3
-CRASH_SPREAD_S = 0.25
-CRASH_WINDOW_S = 0.5
 _VERDICT_REASONS = {
     attempts.Verdict.DUPLICATE: Reason.DUPLICATE_ATTEMPT,
     attempts.Verdict.REVOKED: Reason.REVOKED,
@@ -59,13 +53,9 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.incarnation = incarnation
-        self.quarantine = quarantine.Quarantine()
+        self.crashes = crashes.CrashWatch(metrics, clock)
         self.on_change: Callable[[], None] = lambda: None
-        self.spread: Spread = _spread_to_nobody
         self.link_to: LinkTo = _no_link
-        self.quarantine_s: Callable[[objects.ServiceName], float] = (
-            lambda service: objects.DEFAULT_QUARANTINE_S
-        )
         self.is_stopping = False
         self.services: tuple[objects.ServiceName, ...] = ()
         self._metrics = metrics
@@ -79,9 +69,6 @@
         self._pool: server.Pool | None = None
         self._jobs: dict[messages.AttemptId, serving.Job] = {}
         self._running: set[messages.AttemptId] = set()
-        self._crash: frozenset[quarantine.Fingerprint] = frozenset()
-        self._crash_until = 0.0
-        self._is_crash_reported = False
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -185,20 +172,7 @@
                 if job := self._jobs.get(attempt):
                     job.add_body(message)
             case messages.Crashing():
-                self.learn_crash(message)
-
-    def learn_crash(self, report: messages.Crashing) -> None:
-        """Take a report of a crash, or of a cleared suspect."""
-        now = self._clock()
-        found = [quarantine.Fingerprint(each) for each in report.fingerprints]
-        if not report.crash:
-            for each in found:
-                self.quarantine.clear(each)
-        elif len(found) == 1 and report.remaining_ms:
-            until = now + report.remaining_ms / 1000
-            self.quarantine.convict(found[0], until)
-        else:
-            self.quarantine.suspect(found, now)
+                self.crashes.learn(message)
 
     def _handle_start(self, start: messages.Start, reply: Reply) -> None:
         verdict = self._ledger.admit(start.attempt, start.door)
@@ -215,7 +189,7 @@
             return
         job = serving.Job(start, reply, now)
         job.link = self.link_to(start.origin)
-        standing = self.quarantine.standing(start.fingerprint, now)
+        standing = self.crashes.quarantine.standing(start.fingerprint, now)
         job.is_alone = bool(start.fingerprint) and (
             start.suspect or standing is quarantine.Standing.SUSPECT
         )
@@ -228,7 +202,7 @@
     def _reason_to_refuse(
         self, start: messages.Start, now: float
     ) -> Reason | None:
-        standing = self.quarantine.standing(start.fingerprint, now)
+        standing = self.crashes.quarantine.standing(start.fingerprint, now)
         if start.fingerprint and standing is quarantine.Standing.CONVICTED:
             return Reason.QUARANTINED
         if self.is_stopping:
@@ -342,7 +316,8 @@
             finally:
                 job.pool.give(conn)
         if job.is_alone:
-            await self._clear(job.start)
+            fingerprint = quarantine.Fingerprint(job.start.fingerprint)
+            await self.crashes.clear(fingerprint)
 
     async def _take_connection(self, job: serving.Job) -> server.Connection:
         if self._pool is None:
@@ -355,62 +330,21 @@
     async def _fail(self, job: serving.Job, exc: server.ServerError) -> None:
         reason = Reason.SERVER_BROKEN
         if exc.fault is server.Fault.CLOSED and not job.head_at:
-            beside = self._open_crash()
-            if await self._is_server_gone():
+            beside = self.crashes.open(self._running_fingerprints())
+            if await crashes.is_server_gone(self._pool):
                 reason = Reason.SERVER_CRASHED
                 self.withdraw()
-                await self._report_crash(job, beside)
+                service = objects.ServiceName(job.start.service)
+                await self.crashes.report(service, beside, job.is_alone)
         self._metrics.refused(reason)
         job.end(messages.Broken, reason, self.load())
 
-    def _open_crash(self) -> frozenset[quarantine.Fingerprint]:
-        now = self._clock()
-        if now >= self._crash_until:
-            self._crash_until = now + CRASH_WINDOW_S
-            self._is_crash_reported = False
-            self._crash = frozenset(
-                quarantine.Fingerprint(self._jobs[each].start.fingerprint)
-                for each in self._running
-                if each in self._jobs and self._jobs[each].start.fingerprint
-            )
-        return self._crash
-
-    async def _is_server_gone(self) -> bool:
-        for _ in range(CRASH_PROBES):
-            if self._pool is None:
-                return True
-            try:
-                conn = await self._pool.open()
-            except server.ServerError:
-                return True
-            conn.close()
-            await anyio.sleep(CRASH_PROBE_S)
-        return False
-
-    async def _report_crash(self, job: serving.Job, beside) -> None:
-        """Tell the other doors of a crash before any sender hears of it."""
-        if self._is_crash_reported:
-            await anyio.sleep(CRASH_SPREAD_S)
-            return
-        self._is_crash_reported = True
-        service = objects.ServiceName(job.start.service)
-        remaining_s = self.quarantine_s(service) if job.is_alone else 0
-        report = messages.Crashing(
-            secrets.token_hex(8), list(beside), int(remaining_s * 1000)
-        )
-        self._metrics.event(counting.Event.CRASH)
-        self._log.warning(
-            'Server crashed.', beside=len(beside), alone=job.is_alone
-        )
-        self.learn_crash(report)
-        with anyio.move_on_after(CRASH_SPREAD_S):
-            await self.spread(report)
-
-    async def _clear(self, start: messages.Start) -> None:
-        report = messages.Crashing('', [start.fingerprint], 0)
-        self.learn_crash(report)
-        with anyio.move_on_after(CRASH_SPREAD_S):
-            await self.spread(report)
+    def _running_fingerprints(self) -> list[quarantine.Fingerprint]:
+        return [
+            quarantine.Fingerprint(self._jobs[each].start.fingerprint)
+            for each in self._running
+            if each in self._jobs and self._jobs[each].start.fingerprint
+        ]
 
     def _start_waiting(self) -> None:
         while waiting := self._admission.next_waiting():
@@ -453,7 +387,7 @@
             if job.is_overdue(now):
                 job.cancel(Reason.DEADLINE)
         self._ledger.expire(now)
-        self.quarantine.expire(now)
+        self.crashes.quarantine.expire(now)
         if self._announced is None:
             return
         if now - self._announced_at > ANNOUNCEMENT_TTL_S:
@@ -471,10 +405,6 @@
     del origin
 
 
-async def _spread_to_nobody(report: messages.Crashing) -> None:
-    del report
-
-
 def effective_slots(limit: int, age_s: float, cold_start_s: float) -> int:
     """Return the slots of a server that is age_s into its cold start."""
     if age_s >= cold_start_s:
--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -15,6 +15,10 @@
     def send(self, message: messages.ToDoor) -> None:
         """Send without waiting."""
 
+    @property
+    def carrier(self) -> object:
+        """Return the link that carries the messages in the end."""
+
     @property
     def is_up(self) -> bool:
         """Return whether a message can be sent now."""
@@ -101,9 +105,16 @@
         else:
             exchange.deliver(message)
 
-    def lose(self, wire: Wire) -> None:
-        """Tell the open exchanges of a wire that it was cut."""
+    def lose(self, carrier: object) -> None:
+        """Tell the open exchanges of a link that it was cut."""
         self._metrics.event(counting.Event.LINK_LOST)
         for exchange in self._open.values():
-            if exchange.wire is wire:
+            if exchange.wire.carrier is carrier:
                 exchange.deliver(LinkLost())
+
+    def is_using(self, carrier: object) -> bool:
+        """Return whether an open exchange uses a link."""
+        return any(
+            exchange.wire.carrier is carrier
+            for exchange in self._open.values()
+        )
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -26,6 +26,8 @@
     {'GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'}
 )
 BODILESS_STATUSES = frozenset({204, 304})
+FIRST_VERSION_WAIT_S = 2.0
+FIRST_VERSION_POLL_S = 0.02
 FIRST_BODY_BYTES = messages.PART_BYTES
 
 
@@ -88,6 +90,8 @@
             await self._send_problem(outcome.Unknown(Reason.NODE_FAULT), send)
 
     async def _serve(self, scope, body: '_Body', send) -> None:
+        if self._version().number == snapshot.NO_VERSION:
+            await self._wait_first_version()
         found = self._request(scope, body)
         if not isinstance(found, inbound.Request):
             await self._send_problem(found, send)
@@ -104,6 +108,12 @@
         else:
             await self._send_problem(result, send)
 
+    async def _wait_first_version(self) -> None:
+        """Wait a while: a node that has just started soon has a version."""
+        with anyio.move_on_after(FIRST_VERSION_WAIT_S):
+            while self._version().number == snapshot.NO_VERSION:
+                await anyio.sleep(FIRST_VERSION_POLL_S)
+
     async def _run(
         self, req: inbound.Request, key: bytes | None
     ) -> keyed.Result:
--- /dev/null
+++ b/tests/request/test_ingress.py
@@ -0,0 +1,44 @@
+"""Check that a request waits a while for a node's first version."""
+
+import asyncio
+import unittest
+
+from jayflow.connection import http_server
+from jayflow import metrics as counting
+from jayflow.request import ingress
+from jayflow.version import objects
+from jayflow.version import snapshot
+
+
+class FirstVersionTest(unittest.IsolatedAsyncioTestCase):
+    async def _status(self, appears: bool) -> int:
+        version = snapshot.Version.empty()
+        app = ingress.Ingress(None, None, lambda: version, counting.Metrics())
+        sent = []
+
+        async def receive():
+            return {'type': 'http.request', 'body': b'', 'more_body': False}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            'type': 'http',
+            'method': 'GET',
+            'path': '/',
+            'raw_path': b'/',
+            'query_string': b'',
+            'headers': [(b'host', b'x')],
+            'extensions': {http_server.DISCONNECT: http_server.Disconnect()},
+        }
+        task = asyncio.create_task(app(scope, receive, send))
+        await asyncio.sleep(0.1)
+        if appears:
+            version = snapshot.Version(1, objects.Objects())
+        await task
+        return sent[0]['status']
+
+    async def test_wait(self):
+        for appears, expected in ((True, 404), (False, 503)):
+            with self.subTest(appears=appears):
+                self.assertEqual(expected, await self._status(appears))
