--- a/jayflow/cli.py
+++ b/jayflow/cli.py
@@ -7,6 +7,8 @@
 import argparse
 from collections.abc import Callable
 import enum
+import importlib
+import os
 import pathlib
 import sys
 
@@ -18,6 +20,7 @@
 from jayflow.emulator import backend
 from jayflow.emulator import platform as platform_emulator
 from jayflow import logs
+from jayflow.process import boundary as boundaries
 from jayflow.process import loop
 from jayflow.process import node
 from jayflow.process import operators
@@ -28,6 +31,7 @@
 from jayflow.version import snapshot
 
 DEFAULT_WAIT_S = 30.0
+SETTINGS_VARIABLE = 'JAYFLOW_NODE_FILE'
 
 
 class Exit(enum.IntEnum):
@@ -41,12 +45,23 @@
 
 
 def _run_node(args: argparse.Namespace) -> Exit:
-    cfg = settings.Settings.from_file(args.settings)
+    path = args.settings or os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        print(f'Give --settings or set {SETTINGS_VARIABLE}.', file=sys.stderr)
+        return Exit.BAD_INPUT
+    cfg = settings.Settings.from_file(pathlib.Path(path))
     logs.configure(cfg.log_format, cfg.log_level)
-    loop.run(node.Node(cfg).run)
+    loop.run(node.Node(cfg, _boundary_of(cfg)).run)
     return Exit.DONE
 
 
+def _boundary_of(cfg: settings.Settings) -> boundaries.Boundary:
+    """Return the boundary of the settings; an unused one is not loaded."""
+    if cfg.protocol is settings.Protocol.METADATA:
+        return importlib.import_module('jayflow.platform.boundary').METADATA
+    return boundaries.OWN
+
+
 def _run_check(args: argparse.Namespace) -> Exit:
     whole = operators.load_files(args.files)
     counts = report.object_counts(whole)
@@ -168,8 +183,7 @@
     cmd.add_argument(
         '--settings',
         type=pathlib.Path,
-        required=True,
-        help='INI file with the settings of this process',
+        help=f'INI file of this process (default: ${SETTINGS_VARIABLE})',
     )
     cmd.set_defaults(run=_run_node)
 
--- a/jayflow/connection/announcement.py
+++ b/jayflow/connection/announcement.py
@@ -21,6 +21,8 @@
     connections: int = 0
     cold_start_s: float = 0.0
     draining: bool = False
+    born: int = 0
+    sequence: int = 0
 
     def __post_init__(self) -> None:
         if not 0 < self.slots <= MAX_SLOTS:
--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -10,6 +10,13 @@
 PREFIX = 'live/members/'
 
 
+class Left(msgspec.Struct, frozen=True):
+    """Name a backend server that left; born tells its starts apart."""
+
+    instance: str
+    born: int
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold what one node tells all others of itself."""
 
@@ -23,6 +30,8 @@
     draining: bool = False
     cold_start_s: float = 0.0
     has_seat: bool = False
+    instance: str = ''
+    left: tuple[Left, ...] = ()
 
     @property
     def key(self) -> str:
@@ -40,9 +49,9 @@
 
     def encode(self) -> bytes:
         """Return the member as bytes."""
-        return msgspec.msgpack.encode(self)
+        return msgspec.json.encode(self)
 
     @classmethod
     def decode(cls, data: bytes) -> Self:
         """Return a member from bytes; msgspec.DecodeError for others."""
-        return msgspec.msgpack.decode(data, type=cls)
+        return msgspec.json.decode(data, type=cls)
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -37,6 +37,18 @@
     count: int
 
 
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what a backend server says of its own load.
+
+    Slowness is how many times longer than usual work takes there now.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """Report the load of a backend server; latency in ms."""
 
@@ -45,6 +57,7 @@
     slots: int
     latency_ms: float
     draining: bool = False
+    slowness: float = 1.0
 
 
 class Start(msgspec.Struct, array_like=True, tag='S'):
@@ -97,6 +110,13 @@
     door: Incarnation
 
 
+class Subscribe(msgspec.Struct, array_like=True, tag='O'):
+    """Ask a door for its state now and whenever it changes."""
+
+    attempt: AttemptId
+    origin: str
+
+
 class StatusQuery(msgspec.Struct, array_like=True, tag='Q'):
     """Ask a node for its status."""
 
@@ -211,6 +231,16 @@
     body: bytes
 
 
+class State(msgspec.Struct, array_like=True, tag='L'):
+    """Tell a subscriber a door's load, and its member when it is new."""
+
+    node: NodeId
+    incarnation: Incarnation
+    load: Load
+    version: int
+    member: bytes = b''
+
+
 class Crashing(msgspec.Struct, array_like=True, tag='Z'):
     """Share one crash of a backend server and what ran in it.
 
@@ -230,6 +260,7 @@
     | Credit
     | Cancel
     | Revoke
+    | Subscribe
     | StatusQuery
     | KeyQuery
     | ClaimQuery
@@ -242,6 +273,7 @@
     | Broken
     | Revoked
     | Status
+    | State
     | KeyAnswer
     | ClaimAnswer
     | Credit
--- a/jayflow/connection/server.py
+++ b/jayflow/connection/server.py
@@ -10,13 +10,14 @@
 from collections.abc import AsyncIterator
 import enum
 import time
-from typing import Self
+from typing import Protocol, Self
 
 import httptools
 
 from jayflow.connection import messages
 
 READ_AHEAD_BYTES = 256 * 1024
+CONNECT_TIMEOUT_S = 0.5
 IDLE_REUSE_S = 4.0
 UNSAFE_IDLE_REUSE_S = 1.0
 SWITCHING_PROTOCOLS = 101
@@ -29,6 +30,7 @@
     """Name what went wrong on a connection to a backend server."""
 
     REFUSED = 'refused'
+    SILENT = 'silent'
     CLOSED = 'closed'
     INVALID = 'invalid'
     UNFRAMED = 'unframed'
@@ -49,7 +51,12 @@
 class Connection(asyncio.Protocol):
     """Carry one request at a time over one TCP connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, rules: 'AnswerRules') -> None:
+        self._rules = rules
+        self._request_id: bytes | None = None
+        self._skips = False
+        self._is_tainted = False
+        self._ends_at_close = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._changed = asyncio.Event()
@@ -65,11 +72,16 @@
         self.has_served = False
 
     @classmethod
-    async def open(cls, host: str, port: int) -> Self:
-        """Return a new connection; ServerError when it is refused."""
+    async def open(cls, host: str, port: int, rules: 'AnswerRules') -> Self:
+        """Return a new connection; ServerError when there is none in time."""
         loop = asyncio.get_running_loop()
         try:
-            _, conn = await loop.create_connection(cls, host, port)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, conn = await loop.create_connection(
+                    lambda: cls(rules), host, port
+                )
+        except TimeoutError as exc:
+            raise ServerError(Fault.SILENT, sent=False) from exc
         except OSError as exc:
             raise ServerError(Fault.REFUSED, sent=False) from exc
         return conn
@@ -80,6 +92,7 @@
         return (
             self._fault is None
             and not self._busy
+            and not self._is_tainted
             and not self._buffered
             and self._transport is not None
             and not self._transport.is_closing()
@@ -100,6 +113,7 @@
         """Write a request's head and the first part of its body."""
         self._check()
         self._reset(method)
+        self._request_id = self._rules.id_of(headers)
         self._busy = True
         self._sent = True
         rows = [method.encode(), b' ', target, b' HTTP/1.1\r\n']
@@ -131,6 +145,15 @@
             else:
                 await self._wait()
 
+    async def wait_buffered(self, size: int) -> None:
+        """Wait until the body is whole or so many bytes have arrived."""
+        while not self._complete and self._buffered < size:
+            await self._wait()
+
+    def taint(self) -> None:
+        """Keep the connection from being used for another request."""
+        self._is_tainted = True
+
     def read_ready(self) -> tuple[bytes, bool]:
         """Return the part that has arrived and whether it is the last."""
         part = self._take()
@@ -148,6 +171,8 @@
         self.status: int | None = None
         self.headers: messages.Headers = []
         self._interim = False
+        self._skips = False
+        self._ends_at_close = False
 
     def _check(self) -> None:
         if self._fault is not None or self._transport.is_closing():
@@ -182,6 +207,13 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
+    def eof_received(self) -> bool:
+        """End an answer that has no length; a reset never gets here."""
+        if self._ends_at_close and not self._complete:
+            self._finish()
+            self._changed.set()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
         self._fail(Fault.CLOSED)
@@ -203,23 +235,47 @@
             self._fail(Fault.INVALID)
             self.close()
 
+    def on_message_begin(self) -> None:
+        if self._complete:
+            # A second answer to one request: its bytes belong to nobody.
+            self._is_tainted = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name.lower(), value.rstrip(b' \t')))
+        if not self._complete:
+            self.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
+        if self._complete:
+            return
         status = self._parser.get_status_code()
         self._interim = status < FIRST_FINAL_STATUS
         if self._interim:
             self.headers = []
             return
+        if self._is_foreign():
+            self._skips = True
+            return
         self.status = status
         if self._method == 'HEAD':
             self._finish()
         elif not self._is_framed(status):
-            self._fail(Fault.UNFRAMED)
+            self._ends_at_close = self._rules.is_unframed_allowed
+            if not self._ends_at_close:
+                self._fail(Fault.UNFRAMED)
         self._changed.set()
 
+    def _is_foreign(self) -> bool:
+        """Return whether an answer belongs to an earlier request."""
+        found = self._rules.id_of(self.headers)
+        return (
+            self._request_id is not None
+            and found is not None
+            and found != self._request_id
+        )
+
     def on_body(self, data: bytes) -> None:
+        if self._skips or self._complete:
+            return
         self._buffer.append(data)
         self._buffered += len(data)
         if self._buffered >= READ_AHEAD_BYTES and not self._paused:
@@ -228,7 +284,10 @@
         self._changed.set()
 
     def on_message_complete(self) -> None:
-        if not self._interim and not self._complete:
+        if self._skips:
+            self._skips = False
+            self.headers = []
+        elif not self._interim and not self._complete:
             self._finish()
             self._changed.set()
 
@@ -250,12 +309,23 @@
         )
 
 
+class AnswerRules(Protocol):
+    """Say how answers are matched to requests and framed."""
+
+    is_unframed_allowed: bool
+
+    def id_of(self, headers: messages.Headers) -> bytes | None:
+        """Return the id of a request or an answer, if there is one."""
+
+
 class Pool:
     """Keep idle connections to one backend server."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, rules: AnswerRules) -> None:
         self.host = host
         self.port = port
+        self._rules = rules
+        self._is_closed = False
         self._idle: list[Connection] = []
 
     async def take(self, repeatable: bool) -> Connection:
@@ -275,17 +345,18 @@
 
     async def open(self) -> Connection:
         """Return a new connection; ServerError when it is refused."""
-        return await Connection.open(self.host, self.port)
+        return await Connection.open(self.host, self.port, self._rules)
 
     def give(self, conn: Connection) -> None:
         """Take a connection back, or close it in mid-request."""
-        if conn.is_usable:
+        if conn.is_usable and not self._is_closed:
             self._idle.append(conn)
         else:
             conn.close()
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections; those in use close when given."""
+        self._is_closed = True
         for conn in self._idle:
             conn.close()
         self._idle.clear()
--- /dev/null
+++ b/jayflow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between jayflow and the users' platform; nothing is decided."""
--- /dev/null
+++ b/jayflow/platform/wire.py
@@ -0,0 +1,24 @@
+"""Names of the platform's protocol: headers, paths, kinds and words."""
+
+REQUEST_ID = b'jayflow-request-id'
+SIGNATURE = b'jayflow-server-signature'
+EXPECTED_INSTANCE = b'jayflow-expected-instance'
+NOT_EXECUTED = b'jayflow-not-executed'
+SERVER_LOAD = b'jayflow-server-load'
+CALLER_SERVICE = b'jayflow-caller-service'
+CONTENT_ENCODING = b'content-encoding'
+
+HEARTBEAT_PATH = '/Instances.Heartbeat/'
+DEREGISTER_PATH = '/Instances.Deregister/'
+
+OBJECTS_PATH = '/objects/'
+CONFIG_KIND = 'config'
+CONFIG_NAME = 'main'
+# A kind of the system's own: one object for each node.
+NODES_KIND = 'jayflow-nodes'
+
+STATE_READY = 'ready'
+STATE_DRAINING = 'draining'
+TYPE_NON_IDEMPOTENT = 'non_idempotent'
+TYPE_DOWNLOAD = 'download'
+ROUTE_TYPES = ('idempotent', TYPE_NON_IDEMPOTENT, TYPE_DOWNLOAD)
--- a/jayflow/process/announcing.py
+++ b/jayflow/process/announcing.py
@@ -1,11 +1,14 @@
 """Let the backend server announce itself to its node over loopback."""
 
 from collections.abc import Callable
+from typing import Self
 
 import msgspec
 
 from jayflow.connection import announcement
 from jayflow.connection import messages
+from jayflow.process import registration
+from jayflow.process import settings
 from jayflow.request import door as doors
 
 MAX_BODY_BYTES = 16 * 1024
@@ -23,38 +26,49 @@
     def __init__(
         self,
         node: messages.NodeId,
-        door: doors.Door,
+        registered: registration.Registration,
         status: Callable[[], bytes],
     ) -> None:
         self._node = node
-        self._door = door
+        self._registration = registered
+        self._door = registered.door
         self._status = status
 
+    @classmethod
+    def from_settings(
+        cls,
+        cfg: settings.Settings,
+        registered: registration.Registration,
+        status: Callable[[], bytes],
+    ) -> Self:
+        """Return the application of one node."""
+        return cls(cfg.name, registered, status)
+
     async def __call__(self, scope, receive, send) -> None:
         """Serve one call."""
         if scope['type'] != 'http':
             return
-        body = await _read(receive)
+        body = await read_body(receive)
         match scope['method'], scope['path']:
             case 'GET', '/status':
-                await _send(send, 200, self._status())
+                await send_json(send, 200, self._status())
             case 'PUT', '/announcement':
                 await self._announce(body, send)
             case 'DELETE', '/announcement':
                 self._door.withdraw()
-                await _send(send, 200, self._reply())
+                await send_json(send, 200, self._reply())
             case _:
-                await _send(send, 404, b'{}')
+                await send_json(send, 404, b'{}')
 
     async def _announce(self, body: bytes, send) -> None:
         try:
             said = msgspec.json.decode(body, type=announcement.Announcement)
         except (msgspec.DecodeError, ValueError) as exc:
             error = msgspec.json.encode({'error': str(exc)})
-            await _send(send, 400, error)
+            await send_json(send, 400, error)
             return
-        self._door.announce(said)
-        await _send(send, 200, self._reply())
+        await self._registration.announce(said)
+        await send_json(send, 200, self._reply())
 
     def _reply(self) -> bytes:
         return msgspec.json.encode(
@@ -64,7 +78,8 @@
         )
 
 
-async def _read(receive) -> bytes:
+async def read_body(receive) -> bytes:
+    """Return a call's body, as far as the limit allows."""
     body, more = bytearray(), True
     while more and len(body) < MAX_BODY_BYTES:
         message = await receive()
@@ -73,7 +88,8 @@
     return bytes(body)
 
 
-async def _send(send, status: int, body: bytes) -> None:
+async def send_json(send, status: int, body: bytes) -> None:
+    """Answer a call with a JSON document."""
     rows = [
         (b'content-type', b'application/json'),
         (b'content-length', str(len(body)).encode()),
--- /dev/null
+++ b/jayflow/process/boundary.py
@@ -0,0 +1,50 @@
+"""Join a node to what surrounds it: servers, callers and the store.
+
+The decisions of a node are the same everywhere. A boundary holds what
+differs with the environment: the dialect of its headers, the store's
+protocol and the way a backend server announces itself.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from jayflow.connection import platform as api
+from jayflow import metrics as counting
+from jayflow.process import announcing
+from jayflow.process import directory as directories
+from jayflow.process import registration
+from jayflow.process import settings
+from jayflow.request import dialect as dialects
+
+OpenStore = Callable[
+    [settings.Settings, api.CallBudget, counting.Metrics], api.Platform
+]
+AnnounceApp = Callable[
+    [settings.Settings, registration.Registration, Callable[[], bytes]],
+    Callable,
+]
+ReadVersion = Callable[[settings.Settings], directories.ReadVersion]
+
+
+@dataclasses.dataclass(frozen=True)
+class Boundary:
+    """Hold what a node needs from its environment.
+
+    Each prefix is followed by a watch of its own. Without read_version
+    the version in force lies in parts behind a head.
+    """
+
+    dialect: dialects.Dialect
+    open_store: OpenStore
+    announce_app: AnnounceApp
+    prefixes: tuple[str, ...] = (directories.WATCH_PREFIX,)
+    read_version: ReadVersion | None = None
+
+
+def _open_own_store(
+    cfg: settings.Settings, budget: api.CallBudget, metrics: counting.Metrics
+) -> api.Platform:
+    return api.HttpPlatform(cfg.platform, budget, metrics, cfg.call_deadline)
+
+
+OWN = Boundary(dialects.OWN, _open_own_store, announcing.App.from_settings)
--- a/jayflow/process/directory.py
+++ b/jayflow/process/directory.py
@@ -22,6 +22,7 @@
 
 WATCH_PREFIX = 'live/'
 WATCH_WAIT_S = 20.0
+DIRECT_TRUST_S = 1.0
 
 
 class Directory:
@@ -65,6 +66,27 @@
             if member.is_serving(service):
                 self._by_service.setdefault(service, []).append(view)
 
+    def put_listed(self, member: members.Member, now: float) -> None:
+        """Take a member from a listing, unless it told something newer.
+
+        A listing may lag behind what the node itself said a moment ago.
+        """
+        view = self._views.get(member.node)
+        if (
+            view is not None
+            and now - view.heard_at < DIRECT_TRUST_S
+            and view.member.address == member.address
+            and view.member.incarnation != member.incarnation
+        ):
+            return
+        self.put(member)
+
+    def remove_unlisted(self, node: messages.NodeId, now: float) -> None:
+        """Remove a member that is no longer listed and no longer heard."""
+        view = self._views.get(node)
+        if view is not None and now - view.heard_at > DIRECT_TRUST_S:
+            self.remove(node)
+
     def remove(self, node: messages.NodeId) -> None:
         """Remove a member."""
         self._forget(node)
@@ -116,6 +138,9 @@
         return True
 
 
+ReadVersion = Callable[[bytes], snapshot.Version] | None
+
+
 class Follower:
     """Follow the platform's objects that every node wants."""
 
@@ -126,7 +151,16 @@
         holder: VersionHolder,
         metrics: counting.Metrics,
         rng: random.Random,
+        prefix: str = WATCH_PREFIX,
+        read_version: ReadVersion = None,
+        max_pause_s: float = api.BACKOFF_MAX_S,
     ) -> None:
+        self._prefix = prefix
+        self._read_version = read_version
+        self._max_pause_s = max_pause_s
+        self.on_own_missing: Callable[[], None] = lambda: None
+        self.own_key = ''
+        self.has_listed = anyio.Event()
         self._platform = platform
         self._directory = directory
         self._holder = holder
@@ -151,16 +185,29 @@
                 failures += 1
                 if failures == 1:
                     self._log.warning('Platform is lost.', error=str(exc))
-                await anyio.sleep(api.backoff_s(failures, self._rng))
+                await anyio.sleep(
+                    api.backoff_s(failures, self._rng, self._max_pause_s)
+                )
+
+    async def catch_up(self) -> None:
+        """Read the version in force without waiting for a change."""
+        try:
+            entry = await self._platform.get(snapshot.HEAD_KEY)
+        except api.PlatformError as exc:
+            self._log.warning('Version could not be read.', error=str(exc))
+            return
+        if entry is not None:
+            self._take(entry)
 
     async def _step(self, revision: api.Revision | None) -> api.Revision:
         if revision is None:
-            listing = await self._platform.list(WATCH_PREFIX)
+            listing = await self._platform.list(self._prefix)
             self._replace(listing.entries)
             revision = listing.revision
+            self.has_listed.set()
         else:
             found = await self._platform.watch(
-                WATCH_PREFIX, revision, WATCH_WAIT_S
+                self._prefix, revision, WATCH_WAIT_S
             )
             for change in found.changes:
                 self._change(change)
@@ -171,9 +218,14 @@
 
     def _replace(self, entries: list[api.Entry]) -> None:
         listed = {entry.key for entry in entries}
+        now = time.monotonic()
         for member in self._directory.known_members():
-            if member.key not in listed:
-                self._directory.remove(member.node)
+            is_here = member.key.startswith(self._prefix)
+            if is_here and member.key not in listed:
+                self._directory.remove_unlisted(member.node, now)
+        is_own_here = self.own_key.startswith(self._prefix)
+        if is_own_here and self.own_key not in listed:
+            self.on_own_missing()
         for entry in entries:
             self._take(entry)
 
@@ -183,17 +235,25 @@
             self._take(change.entry)
         elif key.startswith(members.PREFIX):
             node = messages.NodeId(key.removeprefix(members.PREFIX))
-            self._directory.remove(node)
+            self._directory.remove_unlisted(node, time.monotonic())
+            if key == self.own_key:
+                self.on_own_missing()
 
     def _take(self, entry: api.Entry) -> None:
         try:
-            if entry.key == snapshot.HEAD_KEY:
+            if entry.key == snapshot.HEAD_KEY and self._read_version:
+                self._holder.apply(self._read_version(entry.value))
+            elif entry.key == snapshot.HEAD_KEY:
                 head = msgspec.msgpack.decode(entry.value, type=snapshot.Head)
                 if head.number > self._holder.current.number:
                     self._pending = head
             elif entry.key.startswith(members.PREFIX):
-                self._directory.put(members.Member.decode(entry.value))
-        except msgspec.DecodeError:
+                member = members.Member.decode(entry.value)
+                if member.key != entry.key:
+                    raise msgspec.ValidationError('entry names another node')
+                if entry.key != self.own_key:
+                    self._directory.put_listed(member, time.monotonic())
+        except (msgspec.DecodeError, ValueError):
             self._metrics.event(counting.Event.CONFIG_REJECTED)
             self._log.error('Object is garbled.', key=entry.key)
 
@@ -219,25 +279,46 @@
         key: str,
         wanted: Callable[[], members.Member | None],
         rng: random.Random,
+        max_pause_s: float = api.BACKOFF_MAX_S,
     ) -> None:
         self._platform = platform
         self._key = key
         self._wanted = wanted
         self._rng = rng
+        self._max_pause_s = max_pause_s
         self._changed = anyio.Event()
+        self._settled = anyio.Event()
+        self._held: api.Entry | None = None
+        self._is_known = False
         self._log = logs.get(logs.Part.MEMBERS)
 
     def notify(self) -> None:
         """Say that the wanted object may have changed."""
         self._changed.set()
 
+    def lose(self) -> None:
+        """Say that the object is missing from the platform."""
+        self._is_known = False
+        self.notify()
+
     async def run(self) -> None:
         """Write the wanted object whenever it changes."""
         while True:
             self._changed = anyio.Event()
             await self.write()
+            if not self._changed.is_set():
+                self._settled.set()
             await self._changed.wait()
 
+    async def settle(self, limit_s: float) -> bool:
+        """Return whether the platform holds what is wanted now, in time."""
+        self._settled = anyio.Event()
+        self.notify()
+        with anyio.move_on_after(limit_s):
+            await self._settled.wait()
+            return True
+        return False
+
     async def write(self) -> None:
         """Write until the platform holds what is wanted now."""
         failures = 0
@@ -245,18 +326,28 @@
             try:
                 if await self._is_written():
                     return
-            except api.PlatformError:
+            except api.PlatformError as exc:
+                self._is_known = False
                 failures += 1
-                await anyio.sleep(api.backoff_s(failures, self._rng))
+                if failures == 1:
+                    self._log.warning('Member is not written.', error=str(exc))
+                await anyio.sleep(
+                    api.backoff_s(failures, self._rng, self._max_pause_s)
+                )
 
     async def _is_written(self) -> bool:
-        entry = await self._platform.get(self._key)
+        if not self._is_known:
+            self._held = await self._platform.get(self._key)
+            self._is_known = True
         wanted = self._wanted()
-        held = entry.revision if entry else api.ABSENT
+        held = self._held.revision if self._held else api.ABSENT
         if wanted is None:
-            if entry is not None:
+            if self._held is not None:
                 await self._platform.delete(self._key, held)
+                self._held = None
             return True
-        if entry is None or entry.value != wanted.encode():
-            await self._platform.put(self._key, wanted.encode(), held)
+        value = wanted.encode()
+        if self._held is None or self._held.value != value:
+            revision = await self._platform.put(self._key, value, held)
+            self._held = api.Entry(self._key, value, revision)
         return True
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -22,9 +22,12 @@
 from jayflow.connection import spending
 from jayflow import logs
 from jayflow import metrics as counting
-from jayflow.process import announcing
+from jayflow.process import boundary as boundaries
 from jayflow.process import crossing
 from jayflow.process import directory as directories
+from jayflow.process import pushing
+from jayflow.process import readiness
+from jayflow.process import registration
 from jayflow.process import settings as process_settings
 from jayflow.process import status
 from jayflow.request import claims
@@ -38,6 +41,7 @@
 from jayflow.request import owners
 from jayflow.request import problem
 from jayflow.request import quarantine
+from jayflow.request import retry
 from jayflow.request import routing
 from jayflow.version import objects
 from jayflow.version import snapshot
@@ -79,8 +83,13 @@
 class Node:
     """Join the parts of one node process."""
 
-    def __init__(self, cfg: process_settings.Settings) -> None:
+    def __init__(
+        self,
+        cfg: process_settings.Settings,
+        around: boundaries.Boundary = boundaries.OWN,
+    ) -> None:
         self._cfg = cfg
+        self._around = around
         self._log = logs.get(logs.Part.NODE)
         self._metrics = counting.Metrics.from_address(cfg.statsd)
         self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
@@ -91,7 +100,12 @@
         self._holder = directories.VersionHolder(
             self._metrics, self._use_version
         )
-        self._door = doors.Door(self.incarnation, self._metrics)
+        self._door = doors.Door(
+            self.incarnation,
+            self._metrics,
+            dialect=around.dialect,
+            announcement_ttl_s=cfg.announcement_ttl,
+        )
         self._exchanges = exchanges.Exchanges(self.incarnation, self._metrics)
         self._local = _LocalWire(self._door, self._exchanges.deliver)
         self._context = zmq.Context()
@@ -108,6 +122,7 @@
             self._metrics,
             self._rng,
             cfg.data_centre,
+            self._new_retry_budget,
         )
         claimer = keys.Claimer(
             self._platform_at(cfg.claims_per_s), self._metrics
@@ -134,20 +149,36 @@
             self._keyed,
             lambda: self._holder.current,
             self._metrics,
-        )
-        self._platform = self._platform_at(cfg.calls_per_s)
-        self._follower = directories.Follower(
-            self._platform,
-            self._directory,
-            self._holder,
-            self._metrics,
+            around.dialect,
+            lambda: cfg.service,
             self._rng,
         )
+        self._platform = self._platform_at(cfg.calls_per_s)
+        self._followers = [
+            self._new_follower(prefix) for prefix in around.prefixes
+        ]
         self._registrar = directories.Registrar(
             self._platform,
             members.PREFIX + cfg.name,
             self._own_member,
             self._rng,
+            cfg.max_pause,
+        )
+        self._registration = registration.Registration(
+            self._door, self._registrar
+        )
+        self._pusher = pushing.Pusher(
+            self._door,
+            self._described,
+            lambda: self._holder.current.number,
+            self._push,
+        )
+        self._subscriptions = pushing.Subscriptions(
+            cfg.name,
+            cfg.data_centre,
+            self._directory,
+            self._links,
+            self._exchanges.new_attempt,
         )
         self._door.on_change = self._own_changed
         self._door.crashes.spread = self._spread_crash
@@ -164,9 +195,13 @@
         self._listener: sockets.Listener | None = None
 
     @classmethod
-    def from_settings(cls, cfg: process_settings.Settings) -> Self:
+    def from_settings(
+        cls,
+        cfg: process_settings.Settings,
+        around: boundaries.Boundary = boundaries.OWN,
+    ) -> Self:
         """Return a node that has not started."""
-        return cls(cfg)
+        return cls(cfg, around)
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then stop gracefully."""
@@ -178,7 +213,9 @@
         callers = http_server.create(
             self._ingress, *self._cfg.http, self._bad_request
         )
-        announce_app = announcing.App(self._cfg.name, self._door, self._status)
+        announce_app = self._around.announce_app(
+            self._cfg, self._registration, self._status
+        )
         announced = http_server.create(
             announce_app, *self._cfg.announce, self._bad_request
         )
@@ -186,15 +223,20 @@
             self._tasks = tasks
             for part in (
                 self._door.run,
-                self._follower.run,
-                self._registrar.run,
+                self._run_registrar,
                 self._metrics.run,
                 self._crossings.run,
                 self._run_housekeeping,
+                self._pusher.run,
+                self._subscriptions.run,
+                callers.serve,
+                announced.serve,
             ):
                 tasks.start_soon(part)
-            tasks.start_soon(callers.serve)
-            tasks.start_soon(announced.serve)
+            for follower in self._followers:
+                tasks.start_soon(follower.run)
+            if self._cfg.ready is not None:
+                tasks.start_soon(self._serve_ready)
             self._log.info(
                 'Node started.',
                 node=self._cfg.name,
@@ -207,6 +249,58 @@
         self._close()
         self._log.info('Node stopped.', node=self._cfg.name)
 
+    def _new_follower(self, prefix: str) -> directories.Follower:
+        read = self._around.read_version
+        follower = directories.Follower(
+            self._platform,
+            self._directory,
+            self._holder,
+            self._metrics,
+            self._rng,
+            prefix,
+            read(self._cfg) if read is not None else None,
+            self._cfg.max_pause,
+        )
+        follower.own_key = members.PREFIX + self._cfg.name
+        follower.on_own_missing = lambda: self._registrar.lose()
+        return follower
+
+    async def _run_registrar(self) -> None:
+        """Learn what the node's last process knew before it writes."""
+        self._registration.is_ready = False
+        entry = await api.insist(
+            lambda: self._platform.get(members.PREFIX + self._cfg.name),
+            self._rng,
+            self._cfg.max_pause,
+        )
+        if entry is not None:
+            with contextlib.suppress(msgspec.DecodeError):
+                before = members.Member.decode(entry.value)
+                self._registration.order.left = before.left
+        self._registration.is_ready = True
+        await self._registrar.run()
+
+    async def _serve_ready(self) -> None:
+        app = readiness.App(lambda: self._is_ready)
+        server = http_server.create(app, *self._cfg.ready, self._bad_request)
+        await server.serve()
+
+    @property
+    def _is_ready(self) -> bool:
+        """Return whether callers should be sent to this node."""
+        has_version = self._holder.current.number != snapshot.NO_VERSION
+        return has_version and not self._ingress.is_stopping
+
+    def _new_retry_budget(self, share: float) -> retry.RetryBudget:
+        burst = self._cfg.fleet_retry_burst
+        if burst is None:
+            return retry.RetryBudget(share)
+        nodes = len(self._directory.known_members()) + 1
+        return retry.RetryBudget.of_fleet(share, burst, nodes)
+
+    def _push(self, peer: sockets.RoutingId, state: messages.State) -> None:
+        self._listener.send(peer, state)
+
     async def _wait_stop(self, callers) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
@@ -252,11 +346,8 @@
 
     def _platform_at(self, calls_per_s: int) -> api.Platform:
         """Return a client of the platform with a call budget of its own."""
-        return api.HttpPlatform(
-            self._cfg.platform,
-            api.CallBudget(calls_per_s),
-            self._metrics,
-            self._cfg.call_deadline,
+        return self._around.open_store(
+            self._cfg, api.CallBudget(calls_per_s), self._metrics
         )
 
     def _claimant_wire(self, claim: claims.Claim) -> exchanges.Wire | None:
@@ -293,7 +384,9 @@
             except sockets.LinkDownError:
                 self._metrics.event(counting.Event.REPLY_DROPPED)
 
-        if isinstance(message, messages.StatusQuery):
+        if isinstance(message, messages.Subscribe):
+            self._pusher.subscribe(peer)
+        elif isinstance(message, messages.StatusQuery):
             reply(messages.Status(message.attempt, self._status()))
         elif isinstance(message, messages.KeyQuery):
             reply(self._key_answer(message))
@@ -335,6 +428,9 @@
         except msgspec.DecodeError:
             self._metrics.refused(Reason.GARBAGE_FRAME)
             return
+        if isinstance(message, messages.State):
+            self._subscriptions.learn(message)
+            return
         self._exchanges.deliver(message)
 
     def _bad_request(self, is_too_large: bool):
@@ -378,35 +474,42 @@
             link.send(report)
 
     def _own_member(self) -> members.Member | None:
-        said = self._door.announced
-        if said is None or self._door.is_stopping:
+        """Return what the platform should hold of this node, if anything."""
+        left = self._registration.order.left
+        is_serving = self._door.announced is not None
+        if self._door.is_stopping and self._around is boundaries.OWN:
+            return None
+        if not is_serving and not left:
             return None
+        return self._described()
+
+    def _described(self) -> members.Member:
+        said = self._door.announced
         return members.Member(
             self._cfg.name,
             self.incarnation,
             self._cfg.data_centre,
             self._cfg.peer.host,
             self._cfg.peer.port,
-            said.services,
-            said.limit,
-            said.draining,
-            said.cold_start_s,
+            said.services if said else (),
+            said.limit if said else 0,
+            said.draining if said else False,
+            0.0 if said is None else said.cold_start_s,
             self._crossings.has_seats(),
+            said.instance if said else '',
+            self._registration.order.left,
         )
 
     def _own_changed(self) -> None:
-        member = self._own_member()
-        if member is None:
-            self._directory.remove(self._cfg.name)
-        else:
-            self._directory.put(member)
+        self._directory.put(self._described())
         self._registrar.notify()
+        self._pusher.push()
 
     def _status(self) -> bytes:
         now = time.monotonic()
         load = self._door.load()
         said = self._door.announced
-        heard_at = self._follower.heard_at
+        heard_at = min(each.heard_at for each in self._followers)
         standing = quarantine.Standing
         return msgspec.json.encode(
             status.NodeStatus(
--- /dev/null
+++ b/jayflow/process/pushing.py
@@ -0,0 +1,149 @@
+"""Push the state of doors to the nodes that send to them.
+
+A sender subscribes at the doors that it may use. A door tells its
+subscribers its load at short intervals while it changes, and its member
+when they subscribe and whenever that changes.
+"""
+
+from collections.abc import Callable
+import time
+
+import anyio
+
+from jayflow.connection import links as peers
+from jayflow.connection import member as members
+from jayflow.connection import messages
+from jayflow.connection import sockets
+from jayflow.process import directory as directories
+from jayflow.request import door as doors
+
+# The load of a backend server keeps its meaning for about this long.
+PUSH_S = 0.1
+IDLE_PUSH_S = 1.0
+RENEW_S = 2.0
+FORGET_S = 7.0
+
+
+class Pusher:
+    """Keep a door's subscribers and tell them its state."""
+
+    def __init__(
+        self,
+        door: doors.Door,
+        member: Callable[[], members.Member],
+        version: Callable[[], int],
+        send: Callable[[sockets.RoutingId, messages.State], None],
+    ) -> None:
+        self._door = door
+        self._member = member
+        self._version = version
+        self._send = send
+        self._subscribers: dict[sockets.RoutingId, float] = {}
+        self._told: tuple[messages.Load, int, bytes] | None = None
+        self._told_at = 0.0
+
+    def subscribe(self, peer: sockets.RoutingId) -> None:
+        """Add or renew a subscriber and tell it all."""
+        self._subscribers[peer] = time.monotonic()
+        self._tell([peer], self._state(self._member().encode()))
+
+    async def run(self) -> None:
+        """Tell the subscribers until cancelled."""
+        while True:
+            await anyio.sleep(PUSH_S)
+            self.push()
+
+    def push(self) -> None:
+        """Tell the subscribers what has changed since the last time."""
+        now = time.monotonic()
+        self._subscribers = {
+            peer: at
+            for peer, at in self._subscribers.items()
+            if now - at < FORGET_S
+        }
+        member = self._member().encode()
+        news = (self._door.load(), self._version(), member)
+        is_due = now - self._told_at >= IDLE_PUSH_S
+        if news == self._told and not is_due:
+            return
+        has_new_member = self._told is None or self._told[2] != member
+        self._told, self._told_at = news, now
+        state = self._state(member if has_new_member else b'')
+        self._tell(list(self._subscribers), state)
+
+    def _state(self, member: bytes) -> messages.State:
+        own = self._member()
+        return messages.State(
+            own.node,
+            own.incarnation,
+            self._door.load(),
+            self._version(),
+            member,
+        )
+
+    def _tell(
+        self, subscribers: list[sockets.RoutingId], state: messages.State
+    ) -> None:
+        for peer in subscribers:
+            try:
+                self._send(peer, state)
+            except sockets.LinkDownError:
+                self._subscribers.pop(peer, None)
+
+
+class Subscriptions:
+    """Subscribe at the known doors and learn what they push."""
+
+    def __init__(
+        self,
+        node: messages.NodeId,
+        data_centre: str,
+        directory: directories.Directory,
+        links: peers.Links,
+        new_attempt: Callable[[], messages.AttemptId],
+    ) -> None:
+        self._node = node
+        self._data_centre = data_centre
+        self._directory = directory
+        self._links = links
+        self._new_attempt = new_attempt
+        self._renewed: dict[str, tuple[float, int]] = {}
+
+    async def run(self) -> None:
+        """Renew the subscriptions until cancelled."""
+        while True:
+            self.renew(time.monotonic())
+            await anyio.sleep(PUSH_S)
+
+    def renew(self, now: float) -> None:
+        """Subscribe where it is due or the link is a new one."""
+        for member in self._directory.known_members():
+            if member.node == self._node:
+                continue
+            link = self._links.to(member, messages.Lane.SHORT)
+            mark = (now, link.lost_count)
+            before = self._renewed.get(member.address)
+            is_kept = before is not None and before[1] == link.lost_count
+            if not link.is_up or (is_kept and now - before[0] < RENEW_S):
+                continue
+            self._renewed[member.address] = mark
+            try:
+                link.send(
+                    messages.Subscribe(self._new_attempt(), self._data_centre)
+                )
+            except sockets.LinkDownError:
+                del self._renewed[member.address]
+
+    def learn(self, state: messages.State) -> None:
+        """Take what a door pushed; a garbled member is ignored."""
+        now = time.monotonic()
+        if state.node == self._node:
+            return
+        if state.member:
+            member = members.Member.decode(state.member)
+            self._directory.put(member)
+        view = self._directory.view(state.node)
+        if view is None or view.member.incarnation != state.incarnation:
+            return
+        view.heard_at = now
+        view.observe_load(state.load, now)
--- /dev/null
+++ b/jayflow/process/readiness.py
@@ -0,0 +1,24 @@
+"""Tell whether the node wants callers."""
+
+from collections.abc import Callable
+
+
+class App:
+    """Answer every GET with 200 while the node is ready, else 503."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one call."""
+        del receive
+        if scope['type'] != 'http':
+            return
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200 if self._is_ready() else 503,
+                'headers': [(b'content-length', b'0')],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': b''})
--- /dev/null
+++ b/jayflow/process/registration.py
@@ -0,0 +1,135 @@
+"""Decide which announcements of backend servers count at a node.
+
+Announcements can arrive late and out of order, also from a server that
+has gone. A server that said it leaves is never used again, and its
+leaving is written to the platform before it is acknowledged, so that
+the node's next process knows it too.
+"""
+
+import enum
+
+from jayflow.connection import announcement
+from jayflow.connection import member as members
+from jayflow import logs
+from jayflow.process import directory as directories
+from jayflow.request import door as doors
+
+# A server calls the next node when it has no answer within a second.
+SETTLE_S = 0.8
+MAX_LEFT = 16
+
+
+class Verdict(enum.Enum):
+    """Say what became of an announcement."""
+
+    TAKEN = 'taken'
+    STALE = 'stale'
+    LEFT = 'left'
+    NOT_READY = 'not-ready'
+
+
+class Order:
+    """Order announcements by start and sequence; remember who left."""
+
+    def __init__(self) -> None:
+        self.left: tuple[members.Left, ...] = ()
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._current: members.Left | None = None
+
+    def judge(self, said: announcement.Announcement) -> Verdict:
+        """Return whether an announcement is news, and remember it."""
+        who = members.Left(said.instance, said.born)
+        if who in self.left:
+            return Verdict.LEFT
+        mark = (said.born, said.sequence)
+        if said.sequence and mark <= self._newest.get(said.instance, (0, 0)):
+            return Verdict.STALE
+        if self._is_older(who):
+            return Verdict.STALE
+        self._newest = {said.instance: mark}
+        self._current = who
+        return Verdict.TAKEN
+
+    def leave(self, who: members.Left) -> bool:
+        """Remember that a server left; return whether it is current."""
+        if who not in self.left:
+            self.left = (*self.left, who)[-MAX_LEFT:]
+        is_current = self._current == who
+        if is_current:
+            self._current = None
+        return is_current
+
+    def born_of(self, instance: str) -> int:
+        """Return when an instance was born, if it is current, else 0."""
+        if self._current and self._current.instance == instance:
+            return self._current.born
+        return 0
+
+    def lose(self) -> None:
+        """Forget the current server: any that has not left may follow."""
+        self._current = None
+
+    def _is_older(self, who: members.Left) -> bool:
+        """Return whether a server started before the current one."""
+        current = self._current
+        return (
+            current is not None
+            and current.instance != who.instance
+            and who.born < current.born
+        )
+
+
+class Registration:
+    """Pass a server's announcements to the door and the platform."""
+
+    def __init__(
+        self,
+        door: doors.Door,
+        registrar: directories.Registrar,
+    ) -> None:
+        self.door = door
+        self.order = Order()
+        self.is_ready = True
+        self._registrar = registrar
+        self._log = logs.get(logs.Part.MEMBERS)
+
+    async def announce(self, said: announcement.Announcement) -> Verdict:
+        """Take an announcement; NOT_READY asks for it to be sent again."""
+        if not self.is_ready:
+            return Verdict.NOT_READY
+        verdict = self.order.judge(said)
+        if verdict is not Verdict.TAKEN:
+            if verdict is Verdict.STALE:
+                self._log.info(
+                    'Late announcement is ignored.',
+                    instance=said.instance,
+                    sequence=said.sequence,
+                )
+            return verdict
+        before = self.door.announced
+        self.door.announce(said)
+        was_draining = before is not None and before.draining
+        if said.draining and not was_draining:
+            self._log.info('Server is draining.', instance=said.instance)
+            return await self._settle()
+        return verdict
+
+    async def withdraw(self, instance: str, born: int = 0) -> Verdict:
+        """Take a server's word that it is gone for good."""
+        if not self.is_ready:
+            return Verdict.NOT_READY
+        who = members.Left(instance, born or self.order.born_of(instance))
+        is_new = who not in self.order.left
+        if self.order.leave(who):
+            self.door.withdraw()
+        if not is_new:
+            return Verdict.LEFT
+        self._log.info('Server has left.', instance=instance, born=who.born)
+        self.door.on_change()
+        return await self._settle()
+
+    async def _settle(self) -> Verdict:
+        if await self._registrar.settle(SETTLE_S):
+            return Verdict.TAKEN
+        self._log.warning('Leaving is not acknowledged: platform is late.')
+        return Verdict.NOT_READY
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -1,6 +1,7 @@
 """Read the settings of one node process, checked as a whole."""
 
 import dataclasses
+import enum
 import ipaddress
 import pathlib
 from typing import Self
@@ -16,8 +17,18 @@
 DEFAULT_CALL_DEADLINE_S = 2.0
 DEFAULT_CALLS_PER_S = 2
 DEFAULT_CLAIMS_PER_S = 10
+DEFAULT_MAX_PAUSE_S = 10.0
+DEFAULT_ANNOUNCEMENT_TTL_S = 3.0
 Field = inifile.Field
 
+
+class Protocol(enum.Enum):
+    """Choose what a node speaks to its platform and its surroundings."""
+
+    OWN = 'own'
+    METADATA = 'metadata-store'
+
+
 FIELDS: dict[str, tuple[Field, ...]] = {
     'node': (
         Field('name', quantity.name, '', required=True),
@@ -26,21 +37,35 @@
         Field('peer', quantity.address, required=True),
         Field('announce', quantity.address, required=True),
         Field('stop-limit', quantity.seconds, DEFAULT_STOP_LIMIT_S),
+        Field('ready', quantity.address),
+        Field('service', quantity.name, ''),
+        Field('server', quantity.address),
+        Field(
+            'announcement-ttl', quantity.seconds, DEFAULT_ANNOUNCEMENT_TTL_S
+        ),
+        Field('fleet-retry-burst', quantity.whole),
+        Field('retry-share', quantity.fraction),
     ),
     'platform': (
         Field('address', quantity.address, required=True),
         Field('call-deadline', quantity.seconds, DEFAULT_CALL_DEADLINE_S),
         Field('calls-per-second', quantity.count, DEFAULT_CALLS_PER_S),
         Field('claims-per-second', quantity.count, DEFAULT_CLAIMS_PER_S),
+        Field('protocol', quantity.choice(Protocol), Protocol.OWN),
+        Field('max-pause', quantity.seconds, DEFAULT_MAX_PAUSE_S),
     ),
     'logs': (
         Field('format', quantity.choice(logs.Format), logs.Format.CONSOLE),
         Field('level', quantity.choice(logs.Level), logs.Level.INFO),
     ),
-    'metrics': (Field('statsd', quantity.address),),
+    'metrics': (
+        Field('statsd', quantity.address),
+        Field('address', quantity.address),
+    ),
 }
+REGIONS_SECTION = 'regions'
 REQUIRED_SECTIONS = ('node', 'platform')
-_ADDRESS_KEYS = ('http', 'peer', 'announce')
+_ADDRESS_KEYS = ('http', 'peer', 'announce', 'ready')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,17 +74,27 @@
 
     name: messages.NodeId
     data_centre: objects.DataCentreName
+    regions: dict[objects.DataCentreName, objects.RegionName]
     http: quantity.Address
     peer: quantity.Address
     announce: quantity.Address
     stop_limit: float
+    ready: quantity.Address | None
+    service: objects.ServiceName
+    server: quantity.Address | None
+    announcement_ttl: float
+    fleet_retry_burst: int | None
+    retry_share: float | None
     platform: quantity.Address
+    protocol: Protocol
     call_deadline: float
     calls_per_s: int
     claims_per_s: int
+    max_pause: float
     log_format: logs.Format
     log_level: logs.Level
     statsd: quantity.Address | None
+    metrics: quantity.Address | None
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
@@ -81,33 +116,61 @@
             for name, fields in FIELDS.items()
         }
         for title, section in sections.items():
-            if title not in FIELDS:
+            if title not in FIELDS and title != REGIONS_SECTION:
                 findings.add(section.place, 'unknown section')
         if 'node' in sections:
-            _check_addresses(sections['node'], values['node'], findings)
+            is_own = values['platform']['protocol'] is Protocol.OWN
+            _check_addresses(
+                sections['node'], values['node'], findings, is_own
+            )
+        regions = _regions(sections.get(REGIONS_SECTION), findings)
         findings.fail_if_any('settings')
-        return cls._from_values(values)
+        return cls._from_values(values, regions)
 
     @classmethod
-    def _from_values(cls, values: dict[str, dict]) -> Self:
+    def _from_values(
+        cls,
+        values: dict[str, dict],
+        regions: dict[objects.DataCentreName, objects.RegionName],
+    ) -> Self:
         node, platform = values['node'], values['platform']
         return cls(
             name=node['name'],
             data_centre=node['data-centre'],
+            regions=regions,
             http=node['http'],
             peer=node['peer'],
             announce=node['announce'],
             stop_limit=node['stop-limit'],
+            ready=node['ready'],
+            service=node['service'],
+            server=node['server'],
+            announcement_ttl=node['announcement-ttl'],
+            fleet_retry_burst=node['fleet-retry-burst'],
+            retry_share=node['retry-share'],
             platform=platform['address'],
+            protocol=platform['protocol'],
+            max_pause=platform['max-pause'],
             call_deadline=platform['call-deadline'],
             calls_per_s=platform['calls-per-second'],
             claims_per_s=platform['claims-per-second'],
             log_format=values['logs']['format'],
             log_level=values['logs']['level'],
             statsd=values['metrics']['statsd'],
+            metrics=values['metrics']['address'],
         )
 
 
+def _regions(
+    section: inifile.Section | None, findings: found.Findings
+) -> dict[objects.DataCentreName, objects.RegionName]:
+    """Return the region of each data centre that the section lists."""
+    if section is None:
+        return {}
+    fields = [Field(key, quantity.name) for key in section.values]
+    return section.read(fields, findings)
+
+
 def _section(
     file: str,
     name: str,
@@ -129,9 +192,11 @@
     section: inifile.Section,
     values: dict,
     findings: found.Findings,
+    is_own: bool,
 ) -> None:
     announce = values['announce']
-    if announce is not None and not _is_loopback(announce.host):
+    is_open = announce is not None and not _is_loopback(announce.host)
+    if is_own and is_open:
         place = section.place_of('announce')
         findings.add(place, 'announce: must be a loopback address')
     used: dict[quantity.Address, str] = {}
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -24,6 +24,10 @@
 TRIED_HEADER = b'jayflow-tried'
 
 
+MAX_DOORS = 8
+NewBudget = Callable[[float], retry.RetryBudget]
+
+
 class Dispatcher:
     """Choose servers, run attempts and decide on retries."""
 
@@ -35,7 +39,9 @@
         metrics: counting.Metrics,
         rng: random.Random,
         data_centre: objects.DataCentreName,
+        new_budget: NewBudget = retry.RetryBudget,
     ) -> None:
+        self._new_budget = new_budget
         self._data_centre = data_centre
         self._exchanges = open_exchanges
         self._views_of = views_of
@@ -52,6 +58,7 @@
         budget = self._budget_of(req)
         budget.earn()
         tried: list[messages.NodeId] = []
+        reached = 0
         worst: outcome.Failure = outcome.NotRun(
             Reason.NO_MEMBER, outcome.Evidence.NEVER_SENT
         )
@@ -65,8 +72,13 @@
             if failure is None:
                 return result
             worst = outcome.worse(worst, failure)
-            reason = self._retry_reason(req, failure, len(tried))
-            if not self._may_retry(req, tried, reason, budget):
+            has_reached = retry.has_reached_server(failure)
+            reached += has_reached
+            reason = self._retry_reason(req, failure, reached, len(tried))
+            if not self._may_retry(req, tried, reason):
+                return _final(result, worst)
+            if reached and not budget.spend():
+                self._metrics.refused(Reason.RETRY_BUDGET)
                 return _final(result, worst)
             if isinstance(result, answers.Answer):
                 result.close()
@@ -77,14 +89,8 @@
         req: inbound.Request,
         tried: list[messages.NodeId],
         reason: retry.RetryReason | None,
-        budget: retry.RetryBudget,
     ) -> bool:
-        if reason is None or self._choose(req, tried) is None:
-            return False
-        if not budget.spend():
-            self._metrics.refused(Reason.RETRY_BUDGET)
-            return False
-        return True
+        return reason is not None and self._choose(req, tried) is not None
 
     async def read_on(
         self, req: inbound.Request, answer: answers.Answer
@@ -144,9 +150,8 @@
     def _budget_of(self, req: inbound.Request) -> retry.RetryBudget:
         budget = self._budgets.get(req.service)
         if budget is None:
-            budget = retry.RetryBudget(req.policy.retry_share)
+            budget = self._new_budget(req.policy.retry_share)
             self._budgets[req.service] = budget
-        budget.share = req.policy.retry_share
         return budget
 
     def _choose(
@@ -161,10 +166,16 @@
         )
 
     def _retry_reason(
-        self, req: inbound.Request, failure: outcome.Failure, tries: int
+        self,
+        req: inbound.Request,
+        failure: outcome.Failure,
+        reached: int,
+        doors: int,
     ) -> retry.RetryReason | None:
+        if doors >= MAX_DOORS:
+            return None
         situation = retry.Situation(
-            tries,
+            reached,
             req.policy.tries,
             req.remaining_s(),
             req.repeatable,
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -18,6 +18,7 @@
 from jayflow import metrics as counting
 from jayflow.request import admission
 from jayflow.request import crashes
+from jayflow.request import dialect as dialects
 from jayflow.request import ledger as attempts
 from jayflow.request import outcome
 from jayflow.request import quarantine
@@ -35,6 +36,11 @@
 IDLE_TICK_S = 0.05
 SUSPECT_WAIT_S = 2.0
 COLD_SLOT_SHARE = 0.25
+RESEND_S = 0.01
+_JUDGED = {
+    dialects.Judgement.NOT_RUN: Reason.SERVER_SHED,
+    dialects.Judgement.WRONG_INSTANCE: Reason.WRONG_INSTANCE,
+}
 _VERDICT_REASONS = {
     attempts.Verdict.DUPLICATE: Reason.DUPLICATE_ATTEMPT,
     attempts.Verdict.REVOKED: Reason.REVOKED,
@@ -43,6 +49,14 @@
 }
 
 
+class _NotRunError(Exception):
+    """Report that the server itself says it did not run a request."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 class Door:
     """Admit, run and answer attempts; hold the state of one server."""
 
@@ -51,8 +65,13 @@
         incarnation: messages.Incarnation,
         metrics: counting.Metrics,
         clock: Callable[[], float] = time.monotonic,
+        dialect: dialects.Dialect = dialects.OWN,
+        announcement_ttl_s: float = ANNOUNCEMENT_TTL_S,
     ) -> None:
         self.incarnation = incarnation
+        self.dialect = dialect
+        self._announcement_ttl_s = announcement_ttl_s
+        self._slowness = 1.0
         self.crashes = crashes.CrashWatch(metrics, clock)
         self.on_change: Callable[[], None] = lambda: None
         self.link_to: LinkTo = _no_link
@@ -66,6 +85,7 @@
         self._announced: announcement.Announcement | None = None
         self._announced_at = 0.0
         self._warm_since = 0.0
+        self.reported_at = 0.0
         self._pool: server.Pool | None = None
         self._jobs: dict[messages.AttemptId, serving.Job] = {}
         self._running: set[messages.AttemptId] = set()
@@ -96,8 +116,15 @@
             self._admission.slots,
             round(self._admission.latency_s * 1000, 2),
             self.is_draining,
+            self._slowness,
         )
 
+    def observe(self, report: messages.Report | None) -> None:
+        """Take what the server says of its own load, if it said so."""
+        if report is not None:
+            self._slowness = report.slowness
+            self.reported_at = self._clock()
+
     def _load_for(self, job: serving.Job) -> messages.Load | None:
         """Return the load if the way to the sender has budget for it."""
         if job.link is not None and not job.link.may_measure(self._clock()):
@@ -118,7 +145,7 @@
             said.host,
             said.port,
         ):
-            self._replace_pool(server.Pool(said.host, said.port))
+            self._replace_pool(server.Pool(said.host, said.port, self.dialect))
         self._resize(now)
         if before != said:
             self.on_change()
@@ -297,6 +324,11 @@
         self._running.add(start.attempt)
         try:
             await self._exchange(job, conn)
+        except _NotRunError as exc:
+            self._send_refusal(start, exc.reason, job.reply)
+            job.is_closed = True
+            if exc.reason is Reason.WRONG_INSTANCE:
+                self.withdraw()
         except server.ServerError as exc:
             await self._fail(job, exc)
         finally:
@@ -305,24 +337,43 @@
     async def _exchange(
         self, job: serving.Job, conn: server.Connection
     ) -> None:
+        job.server_rows = self.dialect.server_rows(job.instance)
+
+        def judge(status: int, headers: messages.Headers) -> None:
+            self._judge(status, headers)
+
+        def load() -> messages.Load | None:
+            return self._load_for(job)
+
         try:
-            await job.exchange(conn, lambda: self._load_for(job))
+            await job.exchange(conn, judge, load)
         except server.ServerError:
-            if not (job.start.repeatable and job.may_resend):
+            is_early = self._clock() - job.begun_at < RESEND_S
+            if not (job.start.repeatable and job.may_resend and is_early):
                 raise
             conn = await job.pool.open()
             try:
-                await job.exchange(conn, lambda: self._load_for(job))
+                await job.exchange(conn, judge, load)
             finally:
                 job.pool.give(conn)
         if job.is_alone:
             fingerprint = quarantine.Fingerprint(job.start.fingerprint)
             await self.crashes.clear(fingerprint)
 
+    def _judge(self, status: int, headers: messages.Headers) -> None:
+        """Raise unless the head is the start of a genuine answer."""
+        self.observe(self.dialect.load_of(headers))
+        judgement = self.dialect.judge(status, headers)
+        if judgement in _JUDGED:
+            raise _NotRunError(_JUDGED[judgement])
+        if judgement is dialects.Judgement.INVALID:
+            raise server.ServerError(server.Fault.INVALID, sent=True)
+
     async def _take_connection(self, job: serving.Job) -> server.Connection:
         if self._pool is None:
             raise server.ServerError(server.Fault.REFUSED, sent=False)
         job.pool = self._pool
+        job.instance = self._announced.instance
         conn = await job.pool.take(job.start.repeatable)
         job.is_reused = conn.has_served
         return conn
@@ -390,7 +441,7 @@
         self.crashes.quarantine.expire(now)
         if self._announced is None:
             return
-        if now - self._announced_at > ANNOUNCEMENT_TTL_S:
+        if now - self._announced_at > self._announcement_ttl_s:
             self._metrics.event(counting.Event.SERVER_LAPSED)
             self._log.warning('Server announcement lapsed.')
             self.withdraw()
--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -86,10 +86,14 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    def new_attempt(self) -> messages.AttemptId:
+        """Return a name that no other attempt has."""
+        self._count += 1
+        return messages.AttemptId(self._incarnation, self._count)
+
     def open(self, wire: Wire) -> Exchange:
         """Return the exchange of a new attempt."""
-        self._count += 1
-        attempt = messages.AttemptId(self._incarnation, self._count)
+        attempt = self.new_attempt()
         exchange = Exchange(attempt, wire, self._close)
         self._open[attempt] = exchange
         return exchange
--- a/jayflow/request/headers.py
+++ b/jayflow/request/headers.py
@@ -34,6 +34,15 @@
     return None
 
 
+def is_single(headers: messages.Headers, names: tuple[bytes, ...]) -> bool:
+    """Return whether there is one host and no other name stands twice."""
+    counts = dict.fromkeys(names, 0)
+    for name, _ in headers:
+        if name in counts:
+            counts[name] += 1
+    return counts.get(b'host', 1) == 1 and max(counts.values()) <= 1
+
+
 def forwarded(headers: messages.Headers) -> messages.Headers:
     """Return the headers that pass to the next hop."""
     dropped = _HOP_BY_HOP
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -1,6 +1,7 @@
 """Take callers' HTTP requests and give each its one outcome."""
 
 from collections.abc import Callable
+import random
 import time
 
 import anyio
@@ -10,6 +11,7 @@
 from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.request import answer as answers
+from jayflow.request import dialect as dialects
 from jayflow.request import dispatch
 from jayflow.request import headers as http
 from jayflow.request import inbound
@@ -17,6 +19,7 @@
 from jayflow.request import outcome
 from jayflow.request import problem
 from jayflow.request import quarantine
+from jayflow.request import splitting
 from jayflow.version import objects
 from jayflow.version import snapshot
 
@@ -44,8 +47,14 @@
         keyed_runner: keyed.KeyedRunner,
         version: Callable[[], snapshot.Version],
         metrics: counting.Metrics,
+        dialect: dialects.Dialect = dialects.OWN,
+        caller: Callable[[], str] = str,
+        rng: random.Random | None = None,
     ) -> None:
         self.is_stopping = False
+        self._dialect = dialect
+        self._caller = caller
+        self._splits = splitting.Splits(rng or random.Random())
         self._dispatcher = dispatcher
         self._keyed = keyed_runner
         self._version = version
@@ -130,13 +139,17 @@
         if version.number == snapshot.NO_VERSION:
             return _never_sent(Reason.NO_CONFIGURATION)
         headers = scope['headers']
+        if not http.is_single(headers, self._single()):
+            return _never_sent(Reason.BAD_REQUEST)
         host = (http.value_of(headers, b'host') or b'').decode('latin-1')
         route = version.objects.route_for(
-            host.partition(':')[0].lower(), scope['path']
+            host.partition(':')[0].lower(),
+            scope['raw_path'].decode('latin-1'),
         )
         if route is None:
             return _never_sent(Reason.NO_ROUTE)
-        policy = version.objects.policy_of(route.service)
+        service = self._splits.choose(route)
+        policy = version.objects.policy_for(route)
         try:
             key = http.key_of(headers)
             remaining_s = http.remaining_s(headers, policy.deadline)
@@ -147,8 +160,9 @@
         target = scope['raw_path']
         if scope['query_string']:
             target += b'?' + scope['query_string']
+        headers = self._dialect.inbound(headers, self._caller())
         return inbound.Request(
-            service=route.service,
+            service=service,
             policy=policy,
             method=scope['method'],
             target=target,
@@ -160,10 +174,15 @@
             repeatable=_is_repeatable(route, scope['method']),
             is_keyed=key is not None and route.key is not KeyRule.IGNORED,
             fingerprint=quarantine.fingerprint(
-                route.service, scope['method'], target, body.first
+                service, scope['method'], target, body.first
             ),
         )
 
+    def _single(self) -> tuple[bytes, ...]:
+        """Return the headers that a request may not repeat."""
+        own = self._dialect.request_id
+        return (b'host', b'content-length', *((own,) if own else ()))
+
     async def _send_stored(
         self, scope, answer: keyed.StoredAnswer, send
     ) -> None:
@@ -215,7 +234,9 @@
         self._metrics.event(
             counting.Event.NOT_RUN if not_run else counting.Event.UNKNOWN
         )
-        document = problem.Problem.from_failure(failure)
+        document = problem.Problem.from_failure(
+            failure, self._dialect.has_fractional_retry_after
+        )
         body = document.body()
         headers = self._closing(document.headers(body))
         await _send_head(send, document.status, headers)
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -61,6 +61,7 @@
     SERVER_UNREACHABLE = 'server_unreachable'
     SERVER_SHED = 'server_shed'
     SERVER_BROKEN = 'server_broken'
+    WRONG_INSTANCE = 'wrong_instance'
     SERVER_CRASHED = 'server_crashed'
     ANSWER_CUT = 'answer_cut'
 
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -12,6 +12,7 @@
 CONTENT_TYPE = b'application/problem+json'
 TYPE_PREFIX = 'urn:jayflow:problem:'
 RETRY_AFTER_S = 1
+RETRY_AFTER_FRACTION_S = 0.1
 Reason = outcome.Reason
 
 _STATUSES = {
@@ -38,18 +39,23 @@
     status: int
     outcome: outcome.Outcome
     reason: Reason
-    retry_after_s: int | None
+    retry_after_s: float | None
 
     @classmethod
-    def from_failure(cls, failure: outcome.Failure) -> Self:
-        """Return the problem for a failure."""
+    def from_failure(
+        cls, failure: outcome.Failure, is_fractional: bool = False
+    ) -> Self:
+        """Return the problem for a failure; waits are whole seconds else."""
         reason = failure.reason
         if isinstance(failure, outcome.Unknown):
             lost = 504 if reason in _TIMEOUTS else 502
             status = _STATUSES.get(reason, lost)
             return cls(status, failure.outcome, reason, None)
         status = _STATUSES.get(reason, 503)
-        wait_s = max(RETRY_AFTER_S, math.ceil(failure.retry_after_s))
+        if is_fractional:
+            wait_s = failure.retry_after_s or RETRY_AFTER_FRACTION_S
+        else:
+            wait_s = max(RETRY_AFTER_S, math.ceil(failure.retry_after_s))
         retry_after_s = wait_s if status == 503 else None
         return cls(status, failure.outcome, reason, retry_after_s)
 
@@ -62,7 +68,7 @@
             (b'jayflow-tried', b'1'),
         ]
         if self.retry_after_s is not None:
-            rows.append((b'retry-after', str(self.retry_after_s).encode()))
+            rows.append((b'retry-after', b'%g' % self.retry_after_s))
         return rows
 
     def body(self) -> bytes:
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 import enum
+from typing import Self
 
 from jayflow.request import outcome
 
 MAX_TOKENS = 10.0
+# Nodes count requests a little differently from whoever adds them up.
+FLEET_MARGIN = 0.85
 MIN_USEFUL_S = 0.005
 
 
@@ -20,15 +23,32 @@
 
 
 class RetryBudget:
-    """Allow extra tries as a fraction of first tries, for one service."""
+    """Allow extra tries as a fraction of first tries, for one service.
 
-    def __init__(self, share: float) -> None:
+    In any span there are at most burst more than the fraction allows.
+    """
+
+    def __init__(
+        self,
+        share: float,
+        burst: float = MAX_TOKENS,
+        tokens: float = MAX_TOKENS,
+    ) -> None:
         self.share = share
-        self._tokens = MAX_TOKENS
+        self.burst = burst
+        self._tokens = min(burst, tokens)
+
+    @classmethod
+    def of_fleet(cls, share: float, burst: float, nodes: int) -> Self:
+        """Return one node's part of a budget that all nodes share.
+
+        It starts empty: nodes that restart get no second burst.
+        """
+        return cls(FLEET_MARGIN * share, FLEET_MARGIN * burst / nodes, 0.0)
 
     def earn(self) -> None:
         """Count a first try."""
-        self._tokens = min(MAX_TOKENS, self._tokens + self.share)
+        self._tokens = min(self.burst, self._tokens + self.share)
 
     def spend(self) -> bool:
         """Return whether one more try may be made, and count it."""
@@ -57,12 +77,23 @@
         outcome.Reason.DEADLINE,
     }
 )
+# Refusals that came from the backend server, not from a node before it.
+_SERVER_REFUSALS = frozenset(
+    {outcome.Reason.SERVER_SHED, outcome.Reason.WRONG_INSTANCE}
+)
 _LOST = {
     outcome.Reason.SERVER_CRASHED: RetryReason.SERVER_CRASHED,
     outcome.Reason.PEER_SILENT: RetryReason.TRY_TIMEOUT,
 }
 
 
+def has_reached_server(failure: outcome.Failure) -> bool:
+    """Return whether a failed attempt may have got to a backend server."""
+    if isinstance(failure, outcome.Unknown):
+        return True
+    return failure.reason in _SERVER_REFUSALS
+
+
 def retry_reason(
     failure: outcome.Failure, situation: Situation
 ) -> RetryReason | None:
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -64,6 +64,7 @@
     latency_s: float | None = None
     failures: int = 0
     cooldown_until: float = -math.inf
+    heard_at: float = -math.inf
 
     def sent(self, now: float) -> None:
         """Count an attempt that goes to this member."""
--- a/jayflow/request/serving.py
+++ b/jayflow/request/serving.py
@@ -37,6 +37,9 @@
         self.task: asyncio.Task | None = None
         self.pool: server.Pool | None = None
         self.link: spending.LinkSpender | None = None
+        self.begun_at = now
+        self.instance = ''
+        self.server_rows: messages.Headers = []
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
         self._credit = messages.WINDOW_PARTS
@@ -95,19 +98,26 @@
     async def exchange(
         self,
         conn: server.Connection,
+        judge: Callable[[int, messages.Headers], None],
         load: Callable[[], messages.Load],
     ) -> None:
-        """Send the request and pass the answer on, part by part."""
+        """Send the request and pass the answer on, part by part.
+
+        What judge raises ends the exchange before anything is passed on.
+        """
         start = self.start
+        self.begun_at = time.monotonic()
         is_chunked = start.more and any(
             name == b'transfer-encoding' for name, _ in start.headers
         )
         body = _chunk(start.body, False) if is_chunked else start.body
         conn.write_head(start.method, start.target, self._headers(), body)
         if start.more:
-            await self._send_body(conn, is_chunked)
+            await self._send_body_until_head(conn, is_chunked)
         status = await conn.read_head()
         self.head_at = self._progress_at = time.monotonic()
+        judge(status, conn.headers)
+        await conn.wait_buffered(self._part_bytes())
         data, last = conn.read_ready()
         first = data[: self._part_bytes()]
         is_whole = last and len(first) == len(data)
@@ -137,7 +147,30 @@
         remaining_s = self._deadline - time.monotonic()
         remaining_ms = max(1, int(remaining_s * 1000))
         row = (DEADLINE_HEADER, str(remaining_ms).encode())
-        return [*self.start.headers, row]
+        return [*self.start.headers, *self.server_rows, row]
+
+    async def _send_body_until_head(
+        self, conn: server.Connection, is_chunked: bool
+    ) -> None:
+        """Send the body, unless the server answers before its end.
+
+        The connection then still owes the rest, so it is not used again.
+        """
+        loop = asyncio.get_running_loop()
+        sending = loop.create_task(self._send_body(conn, is_chunked))
+        answered = loop.create_task(conn.read_head())
+        try:
+            await asyncio.wait(
+                (sending, answered), return_when=asyncio.FIRST_COMPLETED
+            )
+            if sending.done():
+                sending.result()
+            else:
+                conn.taint()
+        finally:
+            sending.cancel()
+            if not answered.cancel() and not answered.cancelled():
+                answered.exception()
 
     async def _send_body(
         self, conn: server.Connection, is_chunked: bool
--- a/jayflow/version/checks.py
+++ b/jayflow/version/checks.py
@@ -67,6 +67,8 @@
             _check_known(kind, each, key, targets, places, findings)
     for link in whole.link.values():
         _check_known('link', link, 'regions', whole.region, places, findings)
+    for route in whole.route.values():
+        _check_route(route, whole, places, findings)
 
 
 def _check_known(kind, each, key, targets, places, findings) -> None:
@@ -78,6 +80,17 @@
             findings.add(place, f'{key}: no such object {name!r}')
 
 
+def _check_route(route, whole, places, findings) -> None:
+    if route.policy:
+        _check_known('route', route, 'policy', whole.policy, places, findings)
+    place = places['route', route.name].place_of('split')
+    for part in route.split:
+        if part.service not in whole.service:
+            findings.add(place, f'split: no such object {part.service!r}')
+    if route.split and not any(part.weight for part in route.split):
+        findings.add(place, 'split: every weight is 0')
+
+
 def _check_contradictions(
     whole: objects.Objects, places: Places, findings: found.Findings
 ) -> None:
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -129,6 +129,8 @@
     cross_region: bool = True
     key_retention: float = DEFAULT_KEY_RETENTION_S
     quarantine: float = DEFAULT_QUARANTINE_S
+    latency_target: float = 0.0
+    priority: int | None = None
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field(
@@ -145,22 +147,57 @@
         Field('cross-region', quantity.flag, True),
         Field('key-retention', quantity.seconds, DEFAULT_KEY_RETENTION_S),
         Field('quarantine', quantity.seconds, DEFAULT_QUARANTINE_S),
+        Field('latency-target', quantity.seconds, 0.0),
+        Field('priority', quantity.whole),
     )
 
+    @property
+    def rank(self) -> int:
+        """Return the place in a queue; the lowest is served first."""
+        if self.priority is not None:
+            return self.priority
+        return list(RequestClass).index(self.request_class)
+
 
 class Service(_Object, frozen=True):
     """Describe a service that backend servers announce."""
 
     name: ServiceName
     policy: PolicyName
+    health_path: str = ''
+    connections: int = 0
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field('policy', quantity.name, required=True),
+        Field('health-path', quantity.path, ''),
+        Field('connections', quantity.whole, 0),
     )
 
 
+class Part(msgspec.Struct, frozen=True):
+    """Hold one service of a split route and its weight."""
+
+    service: ServiceName
+    weight: int
+
+
+def _parts(text: str) -> tuple[Part, ...]:
+    """Return the parts of a split such as "shop 90, shop-next 10"."""
+    parts = []
+    for item in text.split(','):
+        service, _, weight = item.strip().partition(' ')
+        parts.append(
+            Part(ServiceName(quantity.name(service)), quantity.whole(weight))
+        )
+    return tuple(parts)
+
+
 class Route(_Object, frozen=True):
-    """Map a caller's host name and path prefix to a service."""
+    """Map a caller's host name and path prefix to a service.
+
+    A split divides the requests among several services by weight. The
+    policy is the service's unless the route names one.
+    """
 
     name: str
     host: str
@@ -168,6 +205,8 @@
     service: ServiceName
     idempotent: Idempotency = Idempotency.BY_METHOD
     key: KeyRule = KeyRule.ACCEPTED
+    split: tuple[Part, ...] = ()
+    policy: PolicyName = PolicyName('')
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field('host', quantity.name, '', required=True),
@@ -179,9 +218,20 @@
             Idempotency.BY_METHOD,
         ),
         Field('key', quantity.choice(KeyRule), KeyRule.ACCEPTED),
+        Field('split', _parts, ()),
+        Field('policy', quantity.name, ''),
     )
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """Bound what a caller may send; sizes in bytes, durations in s."""
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int | None = None
+    header_timeout: float = 10.0
+    idle_timeout: float = 60.0
+
+
 class Objects(msgspec.Struct, frozen=True):
     """Hold the whole set of one configuration version, by kind and name."""
 
@@ -191,6 +241,7 @@
     policy: dict[PolicyName, Policy] = {}
     service: dict[ServiceName, Service] = {}
     route: dict[str, Route] = {}
+    limits: Limits = Limits()
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path."""
@@ -205,6 +256,12 @@
         """Return the policy of a service; KeyError when it is unknown."""
         return self.policy[self.service[service].policy]
 
+    def policy_for(self, route: Route) -> Policy:
+        """Return the policy of a route; KeyError when it is unknown."""
+        if route.policy:
+            return self.policy[route.policy]
+        return self.policy_of(route.service)
+
     def region_of(self, data_centre: DataCentreName) -> RegionName | None:
         """Return the region of a data centre."""
         found_centre = self.data_centre.get(data_centre)
--- a/jayflow/version/quantity.py
+++ b/jayflow/version/quantity.py
@@ -76,6 +76,13 @@
     return int(text)
 
 
+def whole(text: str) -> int:
+    """Return a whole number of 0 or more."""
+    if not text.isascii() or not text.isdigit():
+        raise ValueError('wants a whole number of 0 or more')
+    return int(text)
+
+
 def name(text: str) -> str:
     """Return an object name."""
     if not _NAME.match(text):
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -12,7 +12,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 LAYERS = ('version', 'connection', 'request', 'process')
-PAGE = (ROOT / 'docs' / 'OPERATING.md').read_text(encoding='utf-8')
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
 
 
 def _imported(path: pathlib.Path) -> set[str]:
