Place by the speed of the moment and hedge slow idempotent work

Doors now poll the health path while they are busy and push load and slowness to their subscribers; routing weighs slowness, the work of the route and the price of its bytes; a second attempt goes out when it turns a miss of the target into a hit.

--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -25,6 +25,7 @@
 from jayflow.process import boundary as boundaries
 from jayflow.process import crossing
 from jayflow.process import directory as directories
+from jayflow.process import polling
 from jayflow.process import pushing
 from jayflow.process import readiness
 from jayflow.process import registration
@@ -180,6 +181,11 @@
             self._links,
             self._exchanges.new_attempt,
         )
+        self._poller = polling.Poller(
+            self._door,
+            lambda name: self._holder.current.objects.service.get(name),
+            self._pusher.push,
+        )
         self._door.on_change = self._own_changed
         self._door.crashes.spread = self._spread_crash
         self._door.crashes.quarantine_s = self._quarantine_s
@@ -228,6 +234,7 @@
                 self._crossings.run,
                 self._run_housekeeping,
                 self._pusher.run,
+                self._poller.run,
                 self._subscriptions.run,
                 callers.serve,
                 announced.serve,
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -1,7 +1,9 @@
 """Send a request to backend servers until it ends in one outcome."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import random
 import time
@@ -11,7 +13,9 @@
 from jayflow import metrics as counting
 from jayflow.request import answer as answers
 from jayflow.request import attempt as attempts
+from jayflow.request import estimate
 from jayflow.request import exchange as exchanges
+from jayflow.request import hedging
 from jayflow.request import inbound
 from jayflow.request import outcome
 from jayflow.request import resume
@@ -25,6 +29,9 @@
 
 
 MAX_DOORS = 8
+HEDGE_LOOK_S = 0.05
+# Answers up to this size are held until they are whole; larger ones stream.
+WHOLE_BYTES = 512 * 1024
 NewBudget = Callable[[float], retry.RetryBudget]
 
 
@@ -42,6 +49,7 @@
         new_budget: NewBudget = retry.RetryBudget,
     ) -> None:
         self._new_budget = new_budget
+        self._estimates = estimate.Estimates()
         self._data_centre = data_centre
         self._exchanges = open_exchanges
         self._views_of = views_of
@@ -67,7 +75,7 @@
             if view is None:
                 return worst
             tried.append(view.member.node)
-            result = await self._attempt(req, view)
+            result = await self._attempt_hedged(req, view, tried, budget)
             failure = _failure_of(req, result)
             if failure is None:
                 return result
@@ -84,6 +92,68 @@
                 result.close()
             self._metrics.retried(reason)
 
+    async def _attempt_hedged(
+        self,
+        req: inbound.Request,
+        view: routing.View,
+        tried: list[messages.NodeId],
+        budget: retry.RetryBudget,
+    ) -> Result:
+        """Attempt, and once more elsewhere if the first server is slow."""
+        if not req.repeatable or req.more or req.policy.tries < 2:
+            return await self._attempt(req, view)
+        first = asyncio.ensure_future(self._attempt(req, view))
+        second: asyncio.Future | None = None
+        work = self._estimates.work(req.policy)
+        progress = hedging.Progress.start(work.service_s, time.monotonic())
+        chosen: Result | None = None
+        try:
+            while second is None and not first.done():
+                await asyncio.wait((first,), timeout=HEDGE_LOOK_S)
+                if first.done():
+                    break
+                other = self._hedge(req, view, progress, tried)
+                if other is not None and budget.spend():
+                    tried.append(other.member.node)
+                    self._metrics.retried(retry.RetryReason.HEDGE)
+                    second = asyncio.ensure_future(self._attempt(req, other))
+            if second is None:
+                chosen = first.result()
+            else:
+                chosen = await _first_good(req, first, second)
+            return chosen
+        finally:
+            for each in (first, second):
+                if each is not None:
+                    await _drop(each, chosen)
+
+    def _hedge(
+        self,
+        req: inbound.Request,
+        view: routing.View,
+        progress: hedging.Progress,
+        tried: list[messages.NodeId],
+    ) -> routing.View | None:
+        """Return the server for a second attempt, if one is worth it."""
+        now = time.monotonic()
+        slowness = view.slowness(now)
+        progress.advance(now, slowness)
+        if len(tried) >= req.policy.tries:
+            return None
+        other = self._choose(req, tried)
+        if other is None:
+            return None
+        other_s = progress.expected_s * other.slowness(now)
+        other_s += routing.RTT_S[other.distance]
+        is_worth = hedging.is_worth(
+            progress,
+            slowness,
+            other_s,
+            now - req.arrived,
+            req.policy.latency_target,
+        )
+        return other if is_worth else None
+
     def _may_retry(
         self,
         req: inbound.Request,
@@ -163,6 +233,7 @@
             time.monotonic(),
             self._rng,
             req.policy.cross_region,
+            self._estimates.work(req.policy),
         )
 
     def _retry_reason(
@@ -201,10 +272,16 @@
             exchange.close()
             return self._not_sent(exc, view)
         self._metrics.event(counting.Event.ATTEMPT)
-        view.sent(time.monotonic())
+        begun = time.monotonic()
+        view.sent(begun)
         result: Result | None = None
         try:
             result = await attempt.wait_answer()
+            if isinstance(result, answers.Answer):
+                await self._take_whole(req, view, result, begun)
+        except answers.AnswerCutError:
+            result.close()
+            result = outcome.Unknown(Reason.ANSWER_CUT)
         finally:
             if result is None:
                 attempt.cancel()
@@ -212,6 +289,22 @@
                 attempt.end()
         return result
 
+    async def _take_whole(
+        self,
+        req: inbound.Request,
+        view: routing.View,
+        answer: answers.Answer,
+        begun: float,
+    ) -> None:
+        """Read an answer of usual size to its end, so that a cut shows."""
+        elapsed_s = time.monotonic() - begun
+        await answer.absorb(WHOLE_BYTES)
+        slowness = view.slowness(time.monotonic())
+        if answer.status < attempts.FIRST_ERROR_STATUS:
+            self._estimates.learn(
+                req.policy, elapsed_s, slowness, len(answer.data)
+            )
+
     def _not_sent(
         self, exc: sockets.LinkDownError, view: routing.View
     ) -> outcome.NotRun:
@@ -223,6 +316,37 @@
         return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
 
 
+async def _first_good(
+    req: inbound.Request, first: asyncio.Future, second: asyncio.Future
+) -> Result:
+    """Return the first answer of two attempts, else the last failure."""
+    done, waiting = await asyncio.wait(
+        (first, second), return_when=asyncio.FIRST_COMPLETED
+    )
+    result = next(iter(done)).result()
+    if not waiting or _failure_of(req, result) is None:
+        return result
+    other = await next(iter(waiting))
+    if _failure_of(req, other) is None:
+        return other
+    if isinstance(other, outcome.NotRun):
+        return result
+    return other
+
+
+async def _drop(attempt: asyncio.Future, chosen: Result | None) -> None:
+    """End an attempt unless its result was chosen."""
+    if not attempt.done():
+        attempt.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await attempt
+    if attempt.cancelled() or attempt.exception() is not None:
+        return
+    result = attempt.result()
+    if isinstance(result, answers.Answer) and result is not chosen:
+        result.close()
+
+
 def _final(result: Result, worst: outcome.Failure) -> Result:
     """Return what a request ends with after its last attempt."""
     if not isinstance(result, answers.Answer):
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -131,6 +131,22 @@
             return None
         return self.load()
 
+    async def ask(self, path: str) -> None:
+        """Ask the server for its load; ServerError when it is silent."""
+        pool = self._pool
+        if pool is None or self._announced is None:
+            return
+        conn = await pool.take(repeatable=True)
+        try:
+            host = f'{pool.host}:{pool.port}'.encode()
+            conn.write_head('GET', path.encode(), [(b'host', host)], b'')
+            await conn.read_head()
+            async for _ in conn.read_parts():
+                pass
+            self.observe(self.dialect.load_of(conn.headers))
+        finally:
+            pool.give(conn)
+
     def announce(self, said: announcement.Announcement) -> None:
         """Take an announcement from the backend server."""
         before, now = self._announced, self._clock()
--- a/jayflow/request/inbound.py
+++ b/jayflow/request/inbound.py
@@ -27,6 +27,7 @@
     deadline: float
     repeatable: bool
     fingerprint: quarantine.Fingerprint
+    arrived: float = dataclasses.field(default_factory=time.monotonic)
     is_keyed: bool = False
     is_suspect: bool = False
     is_body_started: bool = False
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -20,6 +20,7 @@
     SERVER_CRASHED = 'server_crashed'
     CUT_ANSWER = 'cut_answer'
     TRY_TIMEOUT = 'try_timeout'
+    HEDGE = 'hedge'
 
 
 class RetryBudget:
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -15,7 +15,9 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 
+REPORT_FRESH_S = 0.15
 REPORT_DECAY_S = 0.1
+SLOWNESS_TRUST_S = 1.0
 LATENCY_WEIGHT = 0.2
 FAILURE_LATENCY_S = 0.25
 COOLDOWN_S = 0.25
@@ -29,7 +31,7 @@
 SILENCE_RATIO = 3.0
 
 BUSY_WEIGHT = 0.5
-OWN_WEIGHT = 0.5
+EQUAL_COST_SHARE = 0.1
 
 
 class Distance(enum.IntEnum):
@@ -47,6 +49,23 @@
 }
 
 
+# What a byte of an answer costs on its way, as seconds of latency that are
+# worth as much: traffic is billed by volume, between regions four times more.
+BYTE_COST_S = {
+    Distance.DATA_CENTRE: 0.0,
+    Distance.REGION: 9e-6,
+    Distance.FAR: 36e-6,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """Describe a request: its time on an idle server and its answer."""
+
+    service_s: float | None = None
+    answer_bytes: float = 0.0
+
+
 @dataclasses.dataclass
 class View:
     """Hold what a node knows of one member, and from when.
@@ -114,26 +133,37 @@
             return reported_s
         return self.latency_s
 
+    def slowness(self, now: float) -> float:
+        """Return how many times longer work takes there, as reported."""
+        if self.load is None or now - self.load_at > SLOWNESS_TRUST_S:
+            return 1.0
+        return max(1.0, self.load.slowness)
+
+    def _trust(self, now: float) -> float:
+        """Return the weight of the last report, which falls with age."""
+        age_s = now - self.load_at - REPORT_FRESH_S
+        return math.exp(-max(0.0, age_s) / REPORT_DECAY_S)
+
     def reported(self, now: float) -> float:
         """Return the reported requests; their weight falls with age."""
         if self.load is None:
             return 0.0
-        weight = math.exp(-(now - self.load_at) / REPORT_DECAY_S)
         known = self.load.running + self.load.queued + self.sent_since
-        return weight * known
+        return self._trust(now) * known
 
     def queue(self, now: float, scale: float) -> float:
         """Estimate the requests at the server.
 
-        Own requests in flight, scaled to all senders, are never stale;
-        reports tell what the others did.
+        A fresh report tells what all senders did; after it has faded, own
+        requests in flight, scaled to all senders, take its place.
         """
-        own = scale * self.inflight
-        mixed = (1 - OWN_WEIGHT) * self.reported(now) + OWN_WEIGHT * own
-        return max(float(self.inflight), mixed)
+        own = scale * self.inflight * (1 - self._trust(now))
+        return max(float(self.inflight), self.reported(now) + own)
 
-    def cost(self, now: float, typical_s: float, scale: float) -> float:
-        """Estimate an attempt's time in seconds.
+    def cost(
+        self, now: float, typical_s: float, scale: float, work: Work
+    ) -> float:
+        """Estimate an attempt's time, and its traffic, in seconds.
 
         A server near the typical latency counts as typical, since small
         differences are noise that would draw all senders to one server.
@@ -144,11 +174,18 @@
         silence = max(0.0, now - self.waiting_since) / typical_s
         if silence > SILENCE_RATIO * ratio:
             ratio = silence
+        ratio = max(ratio, self.slowness(now))
         slots = max(1, self.member.slots)
         queue = self.queue(now, scale)
         waits = max(0.0, queue + 1 - slots) / slots
         busy = BUSY_WEIGHT * queue / slots
-        return RTT_S[self.distance] + typical_s * ratio * (1 + waits + busy)
+        service_s = (work.service_s or typical_s) * ratio
+        way_s = RTT_S[self.distance]
+        way_s += work.answer_bytes * BYTE_COST_S[self.distance]
+        return way_s + service_s * (1 + waits + busy)
+
+
+ANY_WORK = Work()
 
 
 def choose(
@@ -157,21 +194,23 @@
     now: float,
     rng: random.Random,
     far_allowed: bool,
+    work: Work = ANY_WORK,
 ) -> View | None:
     """Return the view to try next, or None when there is none.
 
     A member in cooldown is passed over, but never more than a share of
-    the members. Far members are used when no near one is left, if they
-    may answer over the link between the regions.
+    the members. Far members are used where that pays, if they may answer
+    over the link between the regions.
     """
-    left = [
+    pool = [
         view
         for view in views
-        if view.member.node not in tried and not _is_leaving(view, now)
+        if view.member.node not in tried
+        and not _is_leaving(view, now)
+        and (
+            view.distance is not Distance.FAR or _may_go_far(view, far_allowed)
+        )
     ]
-    near = [view for view in left if view.distance is not Distance.FAR]
-    far = [view for view in left if view.member.has_seat and far_allowed]
-    pool = near or far
     if not pool:
         return None
     if len(pool) > MAX_CANDIDATES:
@@ -179,15 +218,16 @@
     warm = _warm(pool, now)
     typical_s = _typical_s(warm)
     scale = _scale(warm, now)
-    best = math.inf
-    chosen: list[View] = []
-    for view in warm:
-        cost = view.cost(now, typical_s, scale)
-        if cost < best:
-            best, chosen = cost, [view]
-        elif cost == best:
-            chosen.append(view)
-    return rng.choice(chosen)
+    costs = [view.cost(now, typical_s, scale, work) for view in warm]
+    equal_s = EQUAL_COST_SHARE * (work.service_s or 0.0)
+    limit = min(costs) + equal_s
+    return rng.choice(
+        [view for view, cost in zip(warm, costs, strict=True) if cost <= limit]
+    )
+
+
+def _may_go_far(view: View, far_allowed: bool) -> bool:
+    return far_allowed and view.member.has_seat
 
 
 def _warm(pool: list[View], now: float) -> list[View]:
