Close the answer of a dropped attempt; test the platform adapter

Answers above 256 KB stream again, so that a cut one is seen as cut.

Also: settings are read again on SIGHUP and when the file changes, callers are accepted for leave-time after a stop was asked for, silent links are opened anew, and a stand-in of the metadata store.

--- a/jayflow/connection/links.py
+++ b/jayflow/connection/links.py
@@ -49,6 +49,15 @@
         self._used_at[key] = time.monotonic()
         return link
 
+    def reset(self, peer: members.Member) -> None:
+        """Drop the links to a peer that has gone silent."""
+        for lane in messages.Lane:
+            link = self._links.pop((peer.address, lane), None)
+            self._used_at.pop((peer.address, lane), None)
+            if link is not None:
+                link.close()
+                self._on_lost(link)
+
     def close_idle(self, is_busy: Callable[[sockets.Link], bool]) -> None:
         """Close the links that nothing has used for a while."""
         limit = time.monotonic() - IDLE_CLOSE_S
--- a/jayflow/emulator/platform.py
+++ b/jayflow/emulator/platform.py
@@ -7,7 +7,7 @@
 import collections
 import enum
 import time
-from typing import Self
+from typing import ClassVar, Self
 import urllib.parse
 
 import anyio
@@ -27,6 +27,7 @@
 
     NONE = 'none'
     DOWN = 'down'
+    BUSY = 'busy'
     SLOW = 'slow'
     LOST_ANSWER = 'lost-answer'
 
@@ -129,6 +130,8 @@
 class App:
     """Serve a store as an ASGI application."""
 
+    WRITES: ClassVar[tuple[str, ...]] = ('PUT', 'DELETE')
+
     def __init__(self, store: Store) -> None:
         self._store = store
         self.fault = Fault.NONE
@@ -154,10 +157,13 @@
         if self.fault is Fault.DOWN:
             await _cut(send)
             return
+        if self.fault is Fault.BUSY:
+            await _send(send, 503)
+            return
         if self.fault is Fault.SLOW:
             await anyio.sleep(SLOW_S)
         headers = dict(scope['headers'])
-        is_write = method in ('PUT', 'DELETE')
+        is_write = method in self.WRITES
         rate = self._writes if is_write else self._reads
         if not rate.take(time.monotonic()):
             self.calls['over_rate'] += 1
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
 import secrets
 import signal
@@ -50,8 +51,15 @@
 Reason = outcome.Reason
 INCARNATION_BITS = 62
 HOUSEKEEPING_S = 5.0
-LEAVE_GRACE_S = 1.0
-CLOSE_LIMIT_S = 10.0
+# A forced stop still tells its callers, before the process is killed.
+FORCE_MARGIN_S = 0.3
+RELOADABLE = (
+    'service',
+    'retry_share',
+    'fleet_retry_burst',
+    'leave_time',
+    'stop_limit',
+)
 
 
 class _LocalWire:
@@ -91,6 +99,7 @@
     ) -> None:
         self._cfg = cfg
         self._around = around
+        self._settings_ns = 0
         self._log = logs.get(logs.Part.NODE)
         self._metrics = counting.Metrics.from_address(cfg.statsd)
         self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
@@ -151,7 +160,7 @@
             lambda: self._holder.current,
             self._metrics,
             around.dialect,
-            lambda: cfg.service,
+            lambda: self._cfg.service,
             self._rng,
         )
         self._platform = self._platform_at(cfg.calls_per_s)
@@ -240,6 +249,7 @@
                 announced.serve,
             ):
                 tasks.start_soon(part)
+            tasks.start_soon(self._watch_settings)
             for follower in self._followers:
                 tasks.start_soon(follower.run)
             if self._cfg.ready is not None:
@@ -287,6 +297,44 @@
         self._registration.is_ready = True
         await self._registrar.run()
 
+    async def _watch_settings(self) -> None:
+        """Read the settings again on SIGHUP and when the file changed."""
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self._reload()
+
+    def _reload_if_changed(self) -> None:
+        """Reload when the settings file is another than the one read."""
+        if self._cfg.file is None:
+            return
+        with contextlib.suppress(OSError):
+            changed_ns = self._cfg.file.stat().st_mtime_ns
+            if changed_ns != self._settings_ns:
+                is_first = self._settings_ns == 0
+                self._settings_ns = changed_ns
+                if not is_first:
+                    self._reload()
+
+    def _reload(self) -> None:
+        """Take settings that may change at run time; keep faulty ones out."""
+        if self._cfg.file is None:
+            return
+        try:
+            cfg = process_settings.Settings.from_file(self._cfg.file)
+        except (OSError, ExceptionGroup) as exc:
+            self._log.error('Settings are not used.', error=repr(exc))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(cfg)
+            if getattr(cfg, field.name) != getattr(self._cfg, field.name)
+        ]
+        fixed = [name for name in changed if name not in RELOADABLE]
+        self._cfg = dataclasses.replace(
+            self._cfg, **{name: getattr(cfg, name) for name in RELOADABLE}
+        )
+        self._log.info('Settings are read.', changed=changed, ignored=fixed)
+
     async def _serve_ready(self) -> None:
         app = readiness.App(lambda: self._is_ready)
         server = http_server.create(app, *self._cfg.ready, self._bad_request)
@@ -318,7 +366,9 @@
                 tasks.start_soon(
                     self._stop_gracefully, callers, tasks.cancel_scope
                 )
-                with anyio.move_on_after(self._cfg.stop_limit):
+                with anyio.move_on_after(
+                    max(0.0, self._cfg.stop_limit - FORCE_MARGIN_S)
+                ):
                     await anext(signals)
                 cut = self._door.busy + len(self._exchanges)
                 self._log.warning('Stop was forced.', cut=cut)
@@ -332,7 +382,7 @@
         with anyio.move_on_after(self._cfg.call_deadline):
             await self._registrar.write()
             await self._crossings.release()
-        await anyio.sleep(LEAVE_GRACE_S)
+        await anyio.sleep(self._cfg.leave_time)
         await self._door.wait_idle()
         callers.should_exit = True
         while callers.server_state.connections or len(self._exchanges):
@@ -349,6 +399,7 @@
     async def _run_housekeeping(self) -> None:
         while True:
             await anyio.sleep(HOUSEKEEPING_S)
+            self._reload_if_changed()
             self._links.close_idle(self._exchanges.is_using)
 
     def _platform_at(self, calls_per_s: int) -> api.Platform:
--- a/jayflow/process/pushing.py
+++ b/jayflow/process/pushing.py
@@ -22,6 +22,7 @@
 IDLE_PUSH_S = 1.0
 RENEW_S = 2.0
 FORGET_S = 7.0
+SILENT_S = 3 * IDLE_PUSH_S
 
 
 class Pusher:
@@ -108,6 +109,7 @@
         self._links = links
         self._new_attempt = new_attempt
         self._renewed: dict[str, tuple[float, int]] = {}
+        self._reset_at: dict[messages.NodeId, float] = {}
 
     async def run(self) -> None:
         """Renew the subscriptions until cancelled."""
@@ -120,6 +122,7 @@
         for member in self._directory.known_members():
             if member.node == self._node:
                 continue
+            self._reset_if_silent(member, now)
             link = self._links.to(member, messages.Lane.SHORT)
             mark = (now, link.lost_count)
             before = self._renewed.get(member.address)
@@ -134,6 +137,19 @@
             except sockets.LinkDownError:
                 del self._renewed[member.address]
 
+    def _reset_if_silent(self, member: members.Member, now: float) -> None:
+        """Open a new link to a door that should have been heard by now.
+
+        A connection can go silent without a reset while new ones work.
+        """
+        view = self._directory.view(member.node)
+        since, _ = self._renewed.get(member.address, (now, 0))
+        heard_at = max(view.heard_at, self._reset_at.get(member.node, since))
+        if now - heard_at > SILENT_S:
+            self._reset_at[member.node] = now
+            self._renewed.pop(member.address, None)
+            self._links.reset(member)
+
     def learn(self, state: messages.State) -> None:
         """Take what a door pushed; a garbled member is ignored."""
         now = time.monotonic()
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -14,6 +14,7 @@
 from jayflow.version import quantity
 
 DEFAULT_STOP_LIMIT_S = 600.0
+DEFAULT_LEAVE_TIME_S = 1.0
 DEFAULT_CALL_DEADLINE_S = 2.0
 DEFAULT_CALLS_PER_S = 2
 DEFAULT_CLAIMS_PER_S = 10
@@ -37,6 +38,7 @@
         Field('peer', quantity.address, required=True),
         Field('announce', quantity.address, required=True),
         Field('stop-limit', quantity.seconds, DEFAULT_STOP_LIMIT_S),
+        Field('leave-time', quantity.seconds, DEFAULT_LEAVE_TIME_S),
         Field('ready', quantity.address),
         Field('service', quantity.name, ''),
         Field('server', quantity.address),
@@ -79,6 +81,7 @@
     peer: quantity.Address
     announce: quantity.Address
     stop_limit: float
+    leave_time: float
     ready: quantity.Address | None
     service: objects.ServiceName
     server: quantity.Address | None
@@ -95,11 +98,13 @@
     log_level: logs.Level
     statsd: quantity.Address | None
     metrics: quantity.Address | None
+    file: pathlib.Path | None = None
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
         """Return the settings; an ExceptionGroup holds every fault."""
-        return cls.from_text(str(path), path.read_text(encoding='utf-8'))
+        made = cls.from_text(str(path), path.read_text(encoding='utf-8'))
+        return dataclasses.replace(made, file=path)
 
     @classmethod
     def from_text(cls, file: str, text: str) -> Self:
@@ -142,6 +147,7 @@
             peer=node['peer'],
             announce=node['announce'],
             stop_limit=node['stop-limit'],
+            leave_time=node['leave-time'],
             ready=node['ready'],
             service=node['service'],
             server=node['server'],
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -31,7 +31,7 @@
 MAX_DOORS = 8
 HEDGE_LOOK_S = 0.05
 # Answers up to this size are held until they are whole; larger ones stream.
-WHOLE_BYTES = 512 * 1024
+WHOLE_BYTES = 256 * 1024
 NewBudget = Callable[[float], retry.RetryBudget]
 
 
@@ -275,19 +275,22 @@
         begun = time.monotonic()
         view.sent(begun)
         result: Result | None = None
+        is_kept = False
         try:
             result = await attempt.wait_answer()
             if isinstance(result, answers.Answer):
                 await self._take_whole(req, view, result, begun)
+            is_kept = True
+            return result
         except answers.AnswerCutError:
-            result.close()
-            result = outcome.Unknown(Reason.ANSWER_CUT)
+            return outcome.Unknown(Reason.ANSWER_CUT)
         finally:
             if result is None:
                 attempt.cancel()
             if not isinstance(result, answers.Answer):
                 attempt.end()
-        return result
+            elif not is_kept:
+                result.close()
 
     async def _take_whole(
         self,
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -25,6 +25,8 @@
 MAX_RETRY_AFTER_S = 10.0
 MAX_COOLED_SHARE = 0.5
 LEAVING_TRUST_S = 3.0
+# Doors push at least once a second.
+SILENT_S = 2.5
 MAX_CANDIDATES = 24
 TYPICAL_LATENCY_S = 0.005
 SLOW_RATIO = 2.0
@@ -133,6 +135,10 @@
             return reported_s
         return self.latency_s
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether a member that pushes its state has stopped."""
+        return SILENT_S < now - self.heard_at < math.inf
+
     def slowness(self, now: float) -> float:
         """Return how many times longer work takes there, as reported."""
         if self.load is None or now - self.load_at > SLOWNESS_TRUST_S:
@@ -231,7 +237,11 @@
 
 
 def _warm(pool: list[View], now: float) -> list[View]:
-    """Return the members out of cooldown, but at least half of them."""
+    """Return the members out of cooldown, but at least half of them.
+
+    Members that were heard and have gone silent are the last resort.
+    """
+    pool = [view for view in pool if not view.is_silent(now)] or pool
     warm = [view for view in pool if view.cooldown_until <= now]
     least = max(1, math.ceil(len(pool) * (1 - MAX_COOLED_SHARE)))
     if len(warm) >= least:
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Check the adapter of the users' platform."""
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,115 @@
+"""Check the decoding of the operator's configuration."""
+
+import copy
+import json
+import unittest
+
+from jayflow.platform import configuration
+from jayflow.process import settings
+from jayflow.version import objects
+
+SETTINGS = """
+[node]
+name = n1
+data-centre = west-a
+http = 10.0.0.1:1
+peer = 10.0.0.1:2
+announce = 10.0.0.1:3
+retry-share = 0.2
+[platform]
+address = 10.0.0.9:1
+protocol = metadata-store
+[regions]
+west-a = west
+east-a = east
+"""
+SPLIT = [{'service': 'a', 'weight': 90}, {'service': 'b', 'weight': 10}]
+CONFIG = {
+    'version': 'r12',
+    'routes': {
+        'columns': [
+            'name',
+            'hostname',
+            'path_prefix',
+            'type',
+            'timeout_s',
+            'target_latency_s',
+            'priority',
+            'service',
+            'max_attempts',
+            'traffic_split',
+        ],
+        'rows': [
+            ['r1', 'A.x', '/p/', 'non_idempotent', 2.5, 0.8, 1, 'a', 2, None],
+            ['r2', 'a.x', '/q/', 'idempotent', 2, 0.6, 2, None, 3, SPLIT],
+            ['r3', 'a.x', '/', 'download', 4, 0.6, 0, 'b', None, None],
+        ],
+    },
+    'services': {
+        'columns': ['name', 'health_check_path', 'max_connections', 'tls'],
+        'rows': [['a', '/health', 260, False], ['b', '/h', 260, False]],
+    },
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 1000,
+        'header_timeout_s': 3,
+        'idle_timeout_s': 15,
+    },
+}
+
+
+def _changed(change) -> bytes:
+    config = copy.deepcopy(CONFIG)
+    change(config)
+    return json.dumps(config).encode()
+
+
+GARBLED = [
+    ('no JSON', b'{'),
+    ('no version', _changed(lambda c: c.pop('version'))),
+    ('version', _changed(lambda c: c.update(version='latest'))),
+    ('short row', _changed(lambda c: c['routes']['rows'][0].pop())),
+    ('weight', _changed(lambda c: c['routes']['rows'][1].__setitem__(9, 3))),
+    (
+        'timeout',
+        _changed(lambda c: c['routes']['rows'][0].__setitem__(4, 'x')),
+    ),
+]
+
+
+class ConfigurationTest(unittest.TestCase):
+    def setUp(self):
+        cfg = settings.Settings.from_text('node.ini', SETTINGS)
+        self.read = configuration.version_reader(cfg)
+
+    def test_a_version(self):
+        version = self.read(json.dumps(CONFIG).encode())
+        self.assertEqual(12, version.number)
+        whole = version.objects
+        save = whole.route_for('a.x', '/p/1')
+        self.assertEqual('r1', save.name)
+        self.assertIs(objects.Idempotency.NO, save.idempotent)
+        policy = whole.policy_for(save)
+        self.assertEqual(
+            (2.5, 2, 0.8, 1, 0.2),
+            (
+                policy.deadline,
+                policy.tries,
+                policy.latency_target,
+                policy.rank,
+                policy.retry_share,
+            ),
+        )
+        split = whole.route_for('a.x', '/q/1').split
+        self.assertEqual([90, 10], [part.weight for part in split])
+        pack = whole.policy_for(whole.route_for('a.x', '/z'))
+        self.assertIs(objects.RequestClass.BULK, pack.request_class)
+        self.assertEqual(configuration.DEFAULT_TRIES, pack.tries)
+        self.assertEqual('east', whole.region_of('east-a'))
+        self.assertEqual(15, whole.limits.idle_timeout)
+        self.assertEqual('/health', whole.service['a'].health_path)
+
+    def test_garbled_versions_are_refused(self):
+        for title, data in GARBLED:
+            with self.subTest(title), self.assertRaises(ValueError):
+                self.read(data)
--- /dev/null
+++ b/tests/request/test_choices.py
@@ -0,0 +1,83 @@
+"""Check the decisions on hedges, splits and shared retry budgets."""
+
+import collections
+import random
+import unittest
+
+from jayflow.request import hedging
+from jayflow.request import retry
+from jayflow.request import splitting
+from jayflow.version import objects
+
+# done, slowness, other, elapsed, target, expected; times of a 0.2 s request
+HEDGES = [
+    ('as fast as expected', 0.1, 1, 0.2, 0.1, 0.6, False),
+    ('slow, and another keeps the target', 0.1, 7, 0.2, 0.1, 0.6, True),
+    ('slow, but the target is lost', 0.1, 7, 0.2, 0.5, 0.6, False),
+    ('nearly done', 0.19, 7, 0.2, 0.2, 0.6, False),
+    ('slow, but within the target', 0.1, 2, 0.1, 0.1, 0.6, False),
+    ('stuck', 0.7, 1, 0.2, 0.7, 0.6, True),
+    ('slow without a target', 0.05, 7, 0.2, 0.3, 0.0, True),
+]
+
+
+class HedgingTest(unittest.TestCase):
+    def test_when_a_second_attempt_is_worth_it(self):
+        for title, done, slow, other, elapsed, target, expected in HEDGES:
+            with self.subTest(title):
+                progress = hedging.Progress(0.2, 0.0, done)
+                found = hedging.is_worth(
+                    progress, slow, other, elapsed, target
+                )
+                self.assertIs(expected, found)
+
+    def test_progress_counts_slow_time_less(self):
+        progress = hedging.Progress.start(0.2, 10.0)
+        progress.advance(10.1, 1.0)
+        progress.advance(10.8, 7.0)
+        self.assertAlmostEqual(0.2, progress.done_s)
+
+
+class SplitsTest(unittest.TestCase):
+    def test_short_spans_keep_the_shares(self):
+        parts = (objects.Part('a', 90), objects.Part('b', 10))
+        route = objects.Route('r', 'h', '/', 'a', split=parts)
+        for seed in range(20):
+            splits = splitting.Splits(random.Random(seed))
+            found = collections.Counter(
+                splits.choose(route) for _ in range(100)
+            )
+            self.assertAlmostEqual(90, found['a'], delta=1)
+
+    def test_nodes_take_turns_out_of_step(self):
+        parts = (objects.Part('a', 90), objects.Part('b', 10))
+        route = objects.Route('r', 'h', '/', 'a', split=parts)
+        first = collections.Counter(
+            splitting.Splits(random.Random(seed)).choose(route)
+            for seed in range(400)
+        )
+        self.assertAlmostEqual(40, first['b'], delta=20)
+
+
+class FleetBudgetTest(unittest.TestCase):
+    def test_all_nodes_together_keep_the_budget(self):
+        share, burst, nodes = 0.2, 62, 13
+        budgets = [
+            retry.RetryBudget.of_fleet(share, burst, nodes)
+            for _ in range(nodes)
+        ]
+        spent, requests = 0, 0
+        for _ in range(200):
+            for budget in budgets:
+                budget.earn()
+                requests += 1
+                spent += budget.spend()
+        self.assertLessEqual(spent, share * requests)
+
+    def test_saved_tokens_stay_within_the_burst(self):
+        budgets = [retry.RetryBudget.of_fleet(0.2, 62, 13) for _ in range(13)]
+        for budget in budgets:
+            for _ in range(1000):
+                budget.earn()
+        spent = sum(budget.spend() for budget in budgets for _ in range(1000))
+        self.assertLessEqual(spent, 62)
