Let two nodes of a data centre watch the store for the others

Ruled out by the logs: garbled versions, and the order of versions (every node applied what it read). Watches now end after 3 s, nodes on duty push the number of their version to all, and a node that is behind asks its peer for the whole. Members learn of each other by subscribing. A node whose object vanished is told so and writes it again.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -111,10 +111,26 @@
 
 
 class Subscribe(msgspec.Struct, array_like=True, tag='O'):
-    """Ask a door for its state now and whenever it changes."""
+    """Ask a door for its state now and whenever it changes.
+
+    The member is the subscriber's own, so that each learns of the other.
+    """
 
     attempt: AttemptId
     origin: str
+    member: bytes = b''
+
+
+class VersionQuery(msgspec.Struct, array_like=True, tag='G'):
+    """Ask a peer for the version of the configuration that it has."""
+
+    attempt: AttemptId
+
+
+class Unlisted(msgspec.Struct, array_like=True, tag='N'):
+    """Tell a node that its object is missing from the platform."""
+
+    attempt: AttemptId
 
 
 class StatusQuery(msgspec.Struct, array_like=True, tag='Q'):
@@ -238,9 +254,17 @@
     incarnation: Incarnation
     load: Load
     version: int
+    store_age_s: float
     member: bytes = b''
 
 
+class VersionAnswer(msgspec.Struct, array_like=True, tag='J'):
+    """Answer a VersionQuery with the configuration as the platform has it."""
+
+    attempt: AttemptId
+    encoded: bytes
+
+
 class Crashing(msgspec.Struct, array_like=True, tag='Z'):
     """Share one crash of a backend server and what ran in it.
 
@@ -261,6 +285,8 @@
     | Cancel
     | Revoke
     | Subscribe
+    | VersionQuery
+    | Unlisted
     | StatusQuery
     | KeyQuery
     | ClaimQuery
@@ -274,6 +300,7 @@
     | Revoked
     | Status
     | State
+    | VersionAnswer
     | KeyAnswer
     | ClaimAnswer
     | Credit
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -4,9 +4,12 @@
 fault in sending is dropped and never reaches a request.
 """
 
+import bisect
 import collections
+from collections.abc import Mapping
 import contextlib
 import enum
+import itertools
 from typing import Self
 
 import anyio
@@ -16,6 +19,17 @@
 
 FLUSH_INTERVAL_S = 1.0
 PREFIX = 'jayflow'
+# From a node's own overhead to the longest deadlines.
+BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+
+
+class Timing(enum.Enum):
+    """Name a span whose lengths are collected in a histogram."""
+
+    REQUEST = 'request'
+    QUEUE = 'queue_wait'
+    SERVER = 'server'
+    LOAD_AGE = 'load_age'
 
 
 class Event(enum.Enum):
@@ -29,6 +43,7 @@
     ANSWER_ABORTED = 'answer_aborted'
     ANSWER_RESUMED = 'answer_resumed'
     CALLER_GONE = 'caller_gone'
+    LATE = 'late'
     LATE_FRAME = 'late_frame'
     LINK_LOST = 'link_lost'
     REPLY_DROPPED = 'reply_dropped'
@@ -53,6 +68,8 @@
         self._client = client
         self.totals: collections.Counter[str] = collections.Counter()
         self._unsent: collections.Counter[str] = collections.Counter()
+        self._buckets = {each: [0] * (len(BUCKETS_S) + 1) for each in Timing}
+        self._sums_s = dict.fromkeys(Timing, 0.0)
 
     @classmethod
     def from_address(cls, address: quantity.Address | None) -> Self:
@@ -75,6 +92,29 @@
         """Count an event."""
         self._add(event.value, number)
 
+    def observe(self, timing: Timing, elapsed_s: float) -> None:
+        """Add one length to a histogram."""
+        place = bisect.bisect_left(BUCKETS_S, elapsed_s)
+        self._buckets[timing][place] += 1
+        self._sums_s[timing] += elapsed_s
+
+    def text(self, gauges: Mapping[str, float]) -> str:
+        """Return all in the text format that Prometheus reads."""
+        rows = [f'{PREFIX}_{name} {value:g}' for name, value in gauges.items()]
+        for name, number in sorted(self.totals.items()):
+            event, _, reason = name.partition('.')
+            label = f'{{reason="{reason}"}}' if reason else ''
+            rows.append(f'{PREFIX}_{event}_total{label} {number}')
+        for timing, counts in self._buckets.items():
+            name = f'{PREFIX}_{timing.value}_seconds'
+            limits = [f'{each:g}' for each in BUCKETS_S] + ['+Inf']
+            totals = itertools.accumulate(counts)
+            for limit, total in zip(limits, totals, strict=True):
+                rows.append(f'{name}_bucket{{le="{limit}"}} {total}')
+            rows.append(f'{name}_sum {self._sums_s[timing]:g}')
+            rows.append(f'{name}_count {sum(counts)}')
+        return '\n'.join(rows) + '\n'
+
     def flush(self) -> None:
         """Send what was counted since the last flush."""
         unsent, self._unsent = self._unsent, collections.Counter()
--- a/jayflow/process/boundary.py
+++ b/jayflow/process/boundary.py
@@ -11,7 +11,7 @@
 from jayflow.connection import platform as api
 from jayflow import metrics as counting
 from jayflow.process import announcing
-from jayflow.process import directory as directories
+from jayflow.process import following
 from jayflow.process import registration
 from jayflow.process import settings
 from jayflow.request import dialect as dialects
@@ -23,21 +23,24 @@
     [settings.Settings, registration.Registration, Callable[[], bytes]],
     Callable,
 ]
-ReadVersion = Callable[[settings.Settings], directories.ReadVersion]
+ReadVersion = Callable[[settings.Settings], following.ReadVersion]
 
 
 @dataclasses.dataclass(frozen=True)
 class Boundary:
     """Hold what a node needs from its environment.
 
-    Each prefix is followed by a watch of its own. Without read_version
-    the version in force lies in parts behind a head.
+    Each prefix is followed by a watch of its own that waits for so long.
+    With duties, some nodes watch for the others. Without read_version the
+    version in force lies in parts behind a head.
     """
 
     dialect: dialects.Dialect
     open_store: OpenStore
     announce_app: AnnounceApp
-    prefixes: tuple[str, ...] = (directories.WATCH_PREFIX,)
+    prefixes: tuple[str, ...] = (following.WATCH_PREFIX,)
+    watch_wait_s: float = following.WATCH_WAIT_S
+    has_duties: bool = False
     read_version: ReadVersion | None = None
 
 
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -27,8 +27,11 @@
 from jayflow.process import crossing
 from jayflow.process import directory as directories
 from jayflow.process import polling
+from jayflow.process import duty
+from jayflow.process import following
 from jayflow.process import pushing
 from jayflow.process import readiness
+from jayflow.process import registrar as registrars
 from jayflow.process import registration
 from jayflow.process import settings as process_settings
 from jayflow.process import status
@@ -46,11 +49,13 @@
 from jayflow.request import retry
 from jayflow.request import routing
 from jayflow.version import objects
+from jayflow.version import quantity
 from jayflow.version import snapshot
 
 Reason = outcome.Reason
 INCARNATION_BITS = 62
 HOUSEKEEPING_S = 5.0
+MAX_AGE_S = 1e6
 # A forced stop still tells its callers, before the process is killed.
 FORCE_MARGIN_S = 0.3
 RELOADABLE = (
@@ -167,7 +172,7 @@
         self._followers = [
             self._new_follower(prefix) for prefix in around.prefixes
         ]
-        self._registrar = directories.Registrar(
+        self._registrar = registrars.Registrar(
             self._platform,
             members.PREFIX + cfg.name,
             self._own_member,
@@ -181,6 +186,7 @@
             self._door,
             self._described,
             lambda: self._holder.current.number,
+            self._store_age_s,
             self._push,
         )
         self._subscriptions = pushing.Subscriptions(
@@ -189,6 +195,8 @@
             self._directory,
             self._links,
             self._exchanges.new_attempt,
+            self._described,
+            lambda: self._holder.current.number,
         )
         self._poller = polling.Poller(
             self._door,
@@ -253,7 +261,11 @@
             for follower in self._followers:
                 tasks.start_soon(follower.run)
             if self._cfg.ready is not None:
-                tasks.start_soon(self._serve_ready)
+                app = readiness.App(lambda: self._is_ready)
+                tasks.start_soon(self._serve, app, self._cfg.ready)
+            if self._cfg.metrics is not None:
+                app = readiness.MetricsApp(self._metrics_text)
+                tasks.start_soon(self._serve, app, self._cfg.metrics)
             self._log.info(
                 'Node started.',
                 node=self._cfg.name,
@@ -266,9 +278,9 @@
         self._close()
         self._log.info('Node stopped.', node=self._cfg.name)
 
-    def _new_follower(self, prefix: str) -> directories.Follower:
+    def _new_follower(self, prefix: str) -> following.Follower:
         read = self._around.read_version
-        follower = directories.Follower(
+        follower = following.Follower(
             self._platform,
             self._directory,
             self._holder,
@@ -277,11 +289,28 @@
             prefix,
             read(self._cfg) if read is not None else None,
             self._cfg.max_pause,
+            self._around.watch_wait_s,
         )
-        follower.own_key = members.PREFIX + self._cfg.name
-        follower.on_own_missing = lambda: self._registrar.lose()
+        follower.on_missing = self._on_missing
+        if self._around.has_duties:
+            follower.is_on_duty = self._is_on_duty
         return follower
 
+    def _is_on_duty(self, now: float) -> bool:
+        views = self._directory.views()
+        return duty.is_on_duty(self._cfg.name, views, now)
+
+    def _on_missing(self, node: messages.NodeId) -> None:
+        if node == self._cfg.name:
+            self._registrar.lose()
+        else:
+            self._subscriptions.tell_unlisted(node)
+
+    def _store_age_s(self, now: float) -> float:
+        """Return how long ago the platform was last heard, in seconds."""
+        heard_at = min(each.heard_at for each in self._followers)
+        return min(now - heard_at, MAX_AGE_S)
+
     async def _run_registrar(self) -> None:
         """Learn what the node's last process knew before it writes."""
         self._registration.is_ready = False
@@ -335,10 +364,23 @@
         )
         self._log.info('Settings are read.', changed=changed, ignored=fixed)
 
-    async def _serve_ready(self) -> None:
-        app = readiness.App(lambda: self._is_ready)
-        server = http_server.create(app, *self._cfg.ready, self._bad_request)
-        await server.serve()
+    async def _serve(self, app, address: quantity.Address) -> None:
+        await http_server.create(app, *address, self._bad_request).serve()
+
+    def _metrics_text(self) -> str:
+        now = time.monotonic()
+        load = self._door.load()
+        return self._metrics.text(
+            {
+                'version': self._holder.current.number,
+                'platform_age_seconds': self._store_age_s(now),
+                'members': len(self._directory.known_members()),
+                'door_running': load.running,
+                'door_queued': load.queued,
+                'door_slots': load.slots,
+                'server_slowness': load.slowness,
+            }
+        )
 
     @property
     def _is_ready(self) -> bool:
@@ -443,7 +485,15 @@
                 self._metrics.event(counting.Event.REPLY_DROPPED)
 
         if isinstance(message, messages.Subscribe):
+            self._meet(message.member)
             self._pusher.subscribe(peer)
+        elif isinstance(message, messages.VersionQuery):
+            answer = messages.VersionAnswer(
+                message.attempt, self._holder.encoded
+            )
+            reply(answer)
+        elif isinstance(message, messages.Unlisted):
+            self._registrar.lose()
         elif isinstance(message, messages.StatusQuery):
             reply(messages.Status(message.attempt, self._status()))
         elif isinstance(message, messages.KeyQuery):
@@ -453,6 +503,28 @@
         else:
             self._door.handle(message, reply)
 
+    def _meet(self, encoded: bytes) -> None:
+        """Learn of a node from its own words."""
+        try:
+            member = members.Member.decode(encoded)
+        except msgspec.DecodeError:
+            self._metrics.refused(Reason.GARBAGE_FRAME)
+            return
+        if member.node != self._cfg.name:
+            self._directory.put(member)
+
+    def _take_version(self, encoded: bytes) -> None:
+        """Put a version in force that a peer has from the platform."""
+        read = self._around.read_version
+        if read is None or not encoded:
+            return
+        try:
+            version = read(self._cfg)(encoded)
+        except ValueError as exc:
+            self._log.error('Version of a peer is garbled.', error=str(exc))
+            return
+        self._holder.apply(version, encoded)
+
     async def _answer_claim(
         self, query: messages.ClaimQuery, reply: doors.Reply
     ) -> None:
@@ -489,6 +561,9 @@
         if isinstance(message, messages.State):
             self._subscriptions.learn(message)
             return
+        if isinstance(message, messages.VersionAnswer):
+            self._take_version(message.encoded)
+            return
         self._exchanges.deliver(message)
 
     def _bad_request(self, is_too_large: bool):
@@ -504,6 +579,7 @@
     def _use_version(self, version: snapshot.Version) -> None:
         self._directory.use(version.objects)
         self._crossings.use(version.objects)
+        self._pusher.push()
 
     def _quarantine_s(self, service: objects.ServiceName) -> float:
         whole = self._holder.current.objects
@@ -567,7 +643,6 @@
         now = time.monotonic()
         load = self._door.load()
         said = self._door.announced
-        heard_at = min(each.heard_at for each in self._followers)
         standing = quarantine.Standing
         return msgspec.json.encode(
             status.NodeStatus(
@@ -588,7 +663,7 @@
                     standing.CONVICTED, now
                 ),
                 links=self._crossings.status(),
-                platform_age_s=now - heard_at if heard_at >= 0 else None,
+                platform_age_s=self._platform_age_s(now),
                 members=tuple(
                     self._member_status(member, now)
                     for member in self._directory.known_members()
@@ -597,6 +672,10 @@
             )
         )
 
+    def _platform_age_s(self, now: float) -> float | None:
+        age_s = self._store_age_s(now)
+        return None if age_s >= MAX_AGE_S else age_s
+
     def _member_status(
         self, member: members.Member, now: float
     ) -> status.MemberStatus:
--- a/jayflow/process/pushing.py
+++ b/jayflow/process/pushing.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+import contextlib
+import math
 import time
 
 import anyio
@@ -22,6 +24,7 @@
 IDLE_PUSH_S = 1.0
 RENEW_S = 2.0
 FORGET_S = 7.0
+ASK_AGAIN_S = 0.2
 SILENT_S = 3 * IDLE_PUSH_S
 
 
@@ -33,11 +36,13 @@
         door: doors.Door,
         member: Callable[[], members.Member],
         version: Callable[[], int],
+        store_age_s: Callable[[float], float],
         send: Callable[[sockets.RoutingId, messages.State], None],
     ) -> None:
         self._door = door
         self._member = member
         self._version = version
+        self._store_age_s = store_age_s
         self._send = send
         self._subscribers: dict[sockets.RoutingId, float] = {}
         self._told: tuple[messages.Load, int, bytes] | None = None
@@ -79,6 +84,7 @@
             own.incarnation,
             self._door.load(),
             self._version(),
+            round(self._store_age_s(time.monotonic()), 1),
             member,
         )
 
@@ -102,7 +108,12 @@
         directory: directories.Directory,
         links: peers.Links,
         new_attempt: Callable[[], messages.AttemptId],
+        own_member: Callable[[], members.Member],
+        version: Callable[[], int],
     ) -> None:
+        self._own_member = own_member
+        self._version = version
+        self._asked_at = -math.inf
         self._node = node
         self._data_centre = data_centre
         self._directory = directory
@@ -132,7 +143,11 @@
             self._renewed[member.address] = mark
             try:
                 link.send(
-                    messages.Subscribe(self._new_attempt(), self._data_centre)
+                    messages.Subscribe(
+                        self._new_attempt(),
+                        self._data_centre,
+                        self._own_member().encode(),
+                    )
                 )
             except sockets.LinkDownError:
                 del self._renewed[member.address]
@@ -162,4 +177,24 @@
         if view is None or view.member.incarnation != state.incarnation:
             return
         view.heard_at = now
+        view.store_heard_at = now - state.store_age_s
         view.observe_load(state.load, now)
+        is_newer = state.version > self._version()
+        if is_newer and now - self._asked_at > ASK_AGAIN_S:
+            self._asked_at = now
+            self._ask(view.member)
+
+    def tell_unlisted(self, node: messages.NodeId) -> None:
+        """Tell a node that the platform has lost its object."""
+        view = self._directory.view(node)
+        if view is not None:
+            message = messages.Unlisted(self._new_attempt())
+            self._send(view.member, message)
+
+    def _ask(self, member: members.Member) -> None:
+        self._send(member, messages.VersionQuery(self._new_attempt()))
+
+    def _send(self, member: members.Member, message: messages.ToDoor) -> None:
+        link = self._links.to(member, messages.Lane.SHORT)
+        with contextlib.suppress(sockets.LinkDownError):
+            link.send(message)
--- a/jayflow/process/registration.py
+++ b/jayflow/process/registration.py
@@ -11,7 +11,7 @@
 from jayflow.connection import announcement
 from jayflow.connection import member as members
 from jayflow import logs
-from jayflow.process import directory as directories
+from jayflow.process import registrar as registrars
 from jayflow.request import door as doors
 
 # A server calls the next node when it has no answer within a second.
@@ -85,7 +85,7 @@
     def __init__(
         self,
         door: doors.Door,
-        registrar: directories.Registrar,
+        registrar: registrars.Registrar,
     ) -> None:
         self.door = door
         self.order = Order()
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -10,6 +10,7 @@
 
 from jayflow.connection import messages
 from jayflow.connection import sockets
+from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.request import answer as answers
 from jayflow.request import attempt as attempts
@@ -50,6 +51,7 @@
     ) -> None:
         self._new_budget = new_budget
         self._estimates = estimate.Estimates()
+        self._log = logs.get(logs.Part.DISPATCH)
         self._data_centre = data_centre
         self._exchanges = open_exchanges
         self._views_of = views_of
@@ -83,15 +85,40 @@
             has_reached = retry.has_reached_server(failure)
             reached += has_reached
             reason = self._retry_reason(req, failure, reached, len(tried))
-            if not self._may_retry(req, tried, reason):
-                return _final(result, worst)
-            if reached and not budget.spend():
+            may_retry = self._may_retry(req, tried, reason)
+            if may_retry and reached and not budget.spend():
                 self._metrics.refused(Reason.RETRY_BUDGET)
+                may_retry = False
+            self._log_failure(req, view, failure, reached, may_retry)
+            if not may_retry:
                 return _final(result, worst)
             if isinstance(result, answers.Answer):
                 result.close()
             self._metrics.retried(reason)
 
+    def _log_failure(
+        self,
+        req: inbound.Request,
+        view: routing.View,
+        failure: outcome.Failure,
+        reached: int,
+        is_retried: bool,
+    ) -> None:
+        load_age_s = time.monotonic() - view.load_at
+        self._log.info(
+            'Attempt failed.',
+            id=req.id,
+            node=view.member.node,
+            instance=view.member.instance,
+            reason=failure.reason.value,
+            outcome=failure.outcome.value,
+            servers_reached=reached,
+            retried=is_retried,
+            slowness=view.load.slowness if view.load else None,
+            load_age_ms=round(load_age_s * 1000) if view.load else None,
+            remaining_ms=round(req.remaining_s() * 1000),
+        )
+
     async def _attempt_hedged(
         self,
         req: inbound.Request,
@@ -116,6 +143,16 @@
                 if other is not None and budget.spend():
                     tried.append(other.member.node)
                     self._metrics.retried(retry.RetryReason.HEDGE)
+                    self._log.info(
+                        'Second attempt is sent.',
+                        id=req.id,
+                        first=view.member.node,
+                        second=other.member.node,
+                        slowness=view.slowness(time.monotonic()),
+                        done_share=round(
+                            progress.done_s / progress.expected_s, 2
+                        ),
+                    )
                     second = asyncio.ensure_future(self._attempt(req, other))
             if second is None:
                 chosen = first.result()
@@ -272,6 +309,10 @@
             exchange.close()
             return self._not_sent(exc, view)
         self._metrics.event(counting.Event.ATTEMPT)
+        if view.load is not None:
+            self._metrics.observe(
+                counting.Timing.LOAD_AGE, time.monotonic() - view.load_at
+            )
         begun = time.monotonic()
         view.sent(begun)
         result: Result | None = None
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -318,6 +318,10 @@
             if job.has_started:
                 self._ledger.finish(start.attempt, now)
             elapsed_s = (job.head_at or now) - begun
+            self._metrics.observe(counting.Timing.SERVER, elapsed_s)
+            self._metrics.observe(
+                counting.Timing.QUEUE, max(0.0, begun - job.arrived_at)
+            )
             self._admission.finish(start.service, start.rank, elapsed_s)
             self._start_waiting()
         if job.cancelled is not None and not job.is_closed:
@@ -404,6 +408,14 @@
                 service = objects.ServiceName(job.start.service)
                 await self.crashes.report(service, beside, job.is_alone)
         self._metrics.refused(reason)
+        self._log.info(
+            'Attempt is broken.',
+            id=self._id_of(job.start),
+            reason=reason.value,
+            fault=exc.fault.value,
+            instance=job.instance,
+            elapsed_ms=round((self._clock() - job.begun_at) * 1000),
+        )
         job.end(messages.Broken, reason, self.load())
 
     def _running_fingerprints(self) -> list[quarantine.Fingerprint]:
@@ -427,7 +439,19 @@
         self, start: messages.Start, reason: Reason, reply: Reply
     ) -> None:
         self._metrics.refused(reason)
-        reply(messages.Refused(start.attempt, reason.value, self.load()))
+        load = self.load()
+        self._log.info(
+            'Attempt is refused.',
+            id=self._id_of(start),
+            reason=reason.value,
+            running=load.running,
+            queued=load.queued,
+            slots=load.slots,
+        )
+        reply(messages.Refused(start.attempt, reason.value, load))
+
+    def _id_of(self, start: messages.Start) -> str:
+        return (self.dialect.id_of(start.headers) or b'').decode('latin-1')
 
     def _refuse_waiting(self, reason: Reason) -> None:
         for waiting in self._admission.expired(float('inf')):
--- a/jayflow/request/inbound.py
+++ b/jayflow/request/inbound.py
@@ -28,6 +28,8 @@
     repeatable: bool
     fingerprint: quarantine.Fingerprint
     arrived: float = dataclasses.field(default_factory=time.monotonic)
+    id: str = ''
+    version: int = 0
     is_keyed: bool = False
     is_suspect: bool = False
     is_body_started: bool = False
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -31,6 +31,7 @@
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_VERSION_WAIT_S = 2.0
 FIRST_VERSION_POLL_S = 0.02
+FIRST_ERROR_STATUS = 500
 FIRST_BODY_BYTES = messages.PART_BYTES
 
 
@@ -103,6 +104,13 @@
             await self._wait_first_version()
         found = self._request(scope, body)
         if not isinstance(found, inbound.Request):
+            self._log.info(
+                'Request is refused.',
+                id=_text(self._dialect.id_of(scope['headers'])),
+                reason=found.reason.value,
+                path=scope['path'],
+                version=self._version().number,
+            )
             await self._send_problem(found, send)
             return
         try:
@@ -110,6 +118,7 @@
         except CallerGoneError:
             self._metrics.refused(Reason.BODY_CUT)
             return
+        self._note(found, result)
         if isinstance(result, answers.Answer):
             await self._send_answer(scope, found, result, send)
         elif isinstance(result, keyed.StoredAnswer):
@@ -117,6 +126,33 @@
         else:
             await self._send_problem(result, send)
 
+    def _note(self, req: inbound.Request, result: keyed.Result) -> None:
+        """Measure a request and log the end of one that went wrong."""
+        elapsed_s = time.monotonic() - req.arrived
+        self._metrics.observe(counting.Timing.REQUEST, elapsed_s)
+        if isinstance(result, answers.Answer | keyed.StoredAnswer):
+            how, status = 'answered', result.status
+        else:
+            how, status = result.reason.value, None
+        target_s = req.policy.latency_target
+        is_late = bool(target_s) and elapsed_s > target_s
+        if is_late:
+            self._metrics.event(counting.Event.LATE)
+        if how == 'answered' and status < FIRST_ERROR_STATUS and not is_late:
+            return
+        self._log.info(
+            'Request ended.',
+            id=req.id,
+            policy=req.policy.name,
+            service=req.service,
+            ended=how,
+            status=status,
+            elapsed_ms=round(elapsed_s * 1000),
+            target_ms=round(target_s * 1000),
+            remaining_ms=round(req.remaining_s() * 1000),
+            version=req.version,
+        )
+
     async def _wait_first_version(self) -> None:
         """Wait a while: a node that has just started soon has a version."""
         with anyio.move_on_after(FIRST_VERSION_WAIT_S):
@@ -172,6 +208,8 @@
             read_body=body.read,
             deadline=time.monotonic() + remaining_s,
             repeatable=_is_repeatable(route, scope['method']),
+            id=_text(self._dialect.id_of(headers)),
+            version=version.number,
             is_keyed=key is not None and route.key is not KeyRule.IGNORED,
             fingerprint=quarantine.fingerprint(
                 service, scope['method'], target, body.first
@@ -267,6 +305,10 @@
         return message['body'], message['more_body']
 
 
+def _text(value: bytes | None) -> str:
+    return (value or b'').decode('latin-1')
+
+
 def _never_sent(reason: Reason) -> outcome.NotRun:
     return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
 
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -86,6 +86,7 @@
     failures: int = 0
     cooldown_until: float = -math.inf
     heard_at: float = -math.inf
+    store_heard_at: float = -math.inf
 
     def sent(self, now: float) -> None:
         """Count an attempt that goes to this member."""
--- a/jayflow/request/serving.py
+++ b/jayflow/request/serving.py
@@ -37,6 +37,7 @@
         self.task: asyncio.Task | None = None
         self.pool: server.Pool | None = None
         self.link: spending.LinkSpender | None = None
+        self.arrived_at = now
         self.begun_at = now
         self.instance = ''
         self.server_rows: messages.Headers = []
