--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -18,6 +18,8 @@
 from jayflow.request import routing
 from jayflow.version import objects
 
+SLOT_SHARES = tuple(objects.SLOT_SHARE.values())
+
 HOP_S = 0.0002
 UNREACHABLE_S = 0.25
 FAIL_FAST_S = 0.0005
@@ -101,13 +103,21 @@
         if self.is_failing:
             self._clock.after(FAIL_FAST_S, lambda: attempt.on_end(False))
             return
-        if self.admission.try_start(attempt.service, attempt.rank):
+        share = SLOT_SHARES[attempt.rank]
+        if self.admission.try_start(
+            attempt.service, attempt.rank, False, share
+        ):
             self._serve(attempt)
             return
         until = self._clock.now + QUEUE_TIME_S
         reason = outcome.Reason.QUEUE_TIME
         waiting = admission.Waiting(
-            attempt, attempt.service, attempt.rank, until, reason
+            attempt,
+            attempt.service,
+            attempt.rank,
+            until,
+            reason,
+            share=share,
         )
         refused = self.admission.enqueue(
             waiting, QUEUE_LENGTH, self._clock.now
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -61,7 +61,11 @@
 
 
 class Start(msgspec.Struct, array_like=True, tag='S'):
-    """Ask a door to run a request; remaining time in ms."""
+    """Ask a door to run a request; times are in ms.
+
+    Within target_ms an answer is worth most, 0 is no target; work_ms is
+    what the request is expected to take on a usual server.
+    """
 
     attempt: AttemptId
     door: Incarnation
@@ -79,6 +83,9 @@
     fingerprint: bytes
     suspect: bool = False
     origin: str = ''
+    target_ms: int = 0
+    work_ms: int = 0
+    slot_share: float = 1.0
 
 
 class BodyPart(msgspec.Struct, array_like=True, tag='B'):
--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -11,6 +11,8 @@
 from jayflow.version import snapshot
 
 DEFAULT_TRIES = 2
+# Only the deadline bounds how long a request may wait for a slot.
+QUEUE_LENGTH = 1000
 # A route without a timeout is bounded by the caller's own deadline.
 NO_TIMEOUT_S = 3600.0
 _YES, _NO = objects.Idempotency.YES, objects.Idempotency.NO
@@ -142,6 +144,8 @@
         try_timeout=said.timeout_s,
         tries=said.max_attempts,
         retry_share=retry_share,
+        queue_length=QUEUE_LENGTH,
+        queue_time=said.timeout_s,
         latency_target=said.target_latency_s,
         priority=said.priority,
     )
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -120,6 +120,8 @@
             self._metrics,
             dialect=around.dialect,
             announcement_ttl_s=cfg.announcement_ttl,
+            strikes=cfg.crash_strikes,
+            is_adaptive=cfg.adaptive_slots,
         )
         self._exchanges = exchanges.Exchanges(self.incarnation, self._metrics)
         self._local = _LocalWire(self._door, self._exchanges.deliver)
@@ -201,8 +203,8 @@
         self._poller = polling.Poller(
             self._door,
             lambda name: self._holder.current.objects.service.get(name),
-            self._pusher.push,
         )
+        self._door.on_shift = self._pusher.push
         self._door.on_change = self._own_changed
         self._door.crashes.spread = self._spread_crash
         self._door.crashes.quarantine_s = self._quarantine_s
@@ -583,9 +585,10 @@
 
     def _quarantine_s(self, service: objects.ServiceName) -> float:
         whole = self._holder.current.objects
-        if service not in whole.service:
+        try:
+            return whole.policy_of(service).quarantine
+        except KeyError:
             return objects.DEFAULT_QUARANTINE_S
-        return whole.policy_of(service).quarantine
 
     async def _spread_crash(self, report: messages.Crashing) -> None:
         """Send a report to the other doors of the server's services."""
--- a/jayflow/process/polling.py
+++ b/jayflow/process/polling.py
@@ -13,8 +13,8 @@
 from jayflow.request import door as doors
 from jayflow.version import objects
 
-POLL_S = 0.08
-IDLE_POLL_S = 0.5
+POLL_S = 0.04
+IDLE_POLL_S = 0.2
 TIMEOUT_S = 0.5
 
 
@@ -25,11 +25,9 @@
         self,
         door: doors.Door,
         service: Callable[[str], objects.Service | None],
-        on_report: Callable[[], None],
     ) -> None:
         self._door = door
         self._service = service
-        self._on_report = on_report
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -49,12 +47,9 @@
         return ''
 
     async def _poll(self, path: str) -> None:
-        before = self._door.load()
         with anyio.move_on_after(TIMEOUT_S):
             try:
                 await self._door.ask(path)
             except server.ServerError:
                 # Whether the server is gone shows when a request is sent.
                 return
-        if self._door.load() != before:
-            self._on_report()
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -47,6 +47,8 @@
         ),
         Field('fleet-retry-burst', quantity.whole),
         Field('retry-share', quantity.fraction),
+        Field('crash-strikes', quantity.count),
+        Field('adaptive-slots', quantity.flag, False),
     ),
     'platform': (
         Field('address', quantity.address, required=True),
@@ -88,6 +90,8 @@
     announcement_ttl: float
     fleet_retry_burst: int | None
     retry_share: float | None
+    crash_strikes: int | None
+    adaptive_slots: bool
     platform: quantity.Address
     protocol: Protocol
     call_deadline: float
@@ -154,6 +158,8 @@
             announcement_ttl=node['announcement-ttl'],
             fleet_retry_burst=node['fleet-retry-burst'],
             retry_share=node['retry-share'],
+            crash_strikes=node['crash-strikes'],
+            adaptive_slots=node['adaptive-slots'],
             platform=platform['address'],
             protocol=platform['protocol'],
             max_pause=platform['max-pause'],
--- a/jayflow/request/admission.py
+++ b/jayflow/request/admission.py
@@ -1,24 +1,22 @@
 """Admit requests to the slots of one backend server.
 
-The queue is short and bounded in time. It serves interactive before
-internal before bulk, and no service or class can take every slot.
+Answers load above the capacity. No request is started that can't end in
+time, and none is refused while it still can. Among those that wait, the
+ones that can keep their latency target go first, by rank and then by
+target; those that will be late anyway take what is left. No service and
+no class can take every slot.
 """
 
+import collections
 import dataclasses
+import math
 from typing import Generic, TypeVar
 
 from jayflow.request import outcome
-from jayflow.version import objects
 
 Reason = outcome.Reason
 Item = TypeVar('Item')
 
-RANKS = tuple(objects.RequestClass)
-SLOT_SHARE = {
-    objects.RequestClass.INTERACTIVE: 1.0,
-    objects.RequestClass.INTERNAL: 0.75,
-    objects.RequestClass.BULK: 0.5,
-}
 SERVICE_SLOT_SHARE = 0.75
 LATENCY_WEIGHT = 0.1
 
@@ -33,17 +31,20 @@
     until: float
     reason: Reason
     alone: bool = False
+    share: float = 1.0
+    # The latest start with which the latency target is kept.
+    start_by: float = math.inf
 
 
 class Admission(Generic[Item]):
-    """Count the slots taken and hold the short queue."""
+    """Count the slots taken and hold the queue."""
 
     def __init__(self, slots: int, services: int = 1) -> None:
         self.slots = slots
         self._services = services
         self._queue: list[Waiting[Item]] = []
-        self._by_service: dict[str, int] = {}
-        self._by_rank = [0] * len(RANKS)
+        self._by_service: collections.Counter[str] = collections.Counter()
+        self._by_rank: collections.Counter[int] = collections.Counter()
         self._is_alone = False
         self.running = 0
         self.latency_s = 0.0
@@ -58,14 +59,16 @@
         self.slots = slots
         self._services = services
 
-    def try_start(self, service: str, rank: int, alone: bool = False) -> bool:
+    def try_start(
+        self, service: str, rank: int, alone: bool = False, share: float = 1.0
+    ) -> bool:
         """Take a slot unless one is missing or others wait before.
 
         A request that wants to be alone takes the whole server.
         """
         if any(each.alone or each.rank <= rank for each in self._queue):
             return False
-        return self._take(service, rank, alone)
+        return self._take(service, rank, alone, share)
 
     def enqueue(
         self, waiting: Waiting[Item], length: int, now: float
@@ -74,12 +77,11 @@
         ahead = sum(each.rank <= waiting.rank for each in self._queue)
         if not self.slots or ahead >= length:
             return Reason.QUEUE_FULL
-        if waiting.alone:
-            return self._append(waiting)
         wait_s = (ahead + 1) * self.latency_s / self.slots
-        if now + wait_s > waiting.until:
+        if now + wait_s > waiting.until and not waiting.alone:
             return waiting.reason
-        return self._append(waiting)
+        self._queue.append(waiting)
+        return None
 
     def finish(self, service: str, rank: int, elapsed_s: float) -> None:
         """Give a slot back and learn the time that the request took."""
@@ -87,17 +89,26 @@
         self._is_alone = False
         self._by_rank[rank] -= 1
         self._by_service[service] -= 1
-        if not self._by_service[service]:
-            del self._by_service[service]
         change = elapsed_s - self.latency_s
         weight = LATENCY_WEIGHT if self.latency_s else 1.0
         self.latency_s += change * weight
 
-    def next_waiting(self) -> Waiting[Item] | None:
+    def next_waiting(self, now: float = 0.0) -> Waiting[Item] | None:
         """Take a slot for the first waiting request that may have one."""
-        for index, waiting in enumerate(self._queue):
-            if self._take(waiting.service, waiting.rank, waiting.alone):
-                return self._queue.pop(index)
+        if self.running >= self.slots:
+            return None
+
+        def place(waiting: Waiting[Item]) -> tuple:
+            is_late = waiting.start_by < now
+            by = waiting.until if is_late else waiting.start_by
+            return not waiting.alone, is_late, waiting.rank, by
+
+        for waiting in sorted(self._queue, key=place):
+            if self._take(
+                waiting.service, waiting.rank, waiting.alone, waiting.share
+            ):
+                self._queue.remove(waiting)
+                return waiting
             if waiting.alone:
                 return None
         return None
@@ -115,25 +126,22 @@
         self._queue = [each for each in self._queue if each.item != item]
         return len(self._queue) < before
 
-    def _append(self, waiting: Waiting[Item]) -> None:
-        self._queue.append(waiting)
-        self._queue.sort(key=lambda each: (not each.alone, each.rank))
-
-    def _take(self, service: str, rank: int, alone: bool) -> bool:
+    def _take(
+        self, service: str, rank: int, alone: bool, share: float
+    ) -> bool:
         if self._is_alone or self.running >= self.slots:
             return False
         if alone and self.running:
             return False
-        share = SLOT_SHARE[RANKS[rank]]
         if self._by_rank[rank] >= max(1, int(self.slots * share)):
             return False
-        taken = self._by_service.get(service, 0)
+        taken = self._by_service[service]
         if self._services > 1 and taken >= self._service_limit():
             return False
         self.running += 1
         self._is_alone = alone
         self._by_rank[rank] += 1
-        self._by_service[service] = taken + 1
+        self._by_service[service] += 1
         return True
 
     def _service_limit(self) -> int:
--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -6,7 +6,6 @@
 
 from jayflow.connection import messages
 from jayflow.connection import sockets
-from jayflow.request import admission
 from jayflow.request import answer as answers
 from jayflow.request import exchange as exchanges
 from jayflow.request import inbound
@@ -51,7 +50,9 @@
         if req.repeatable and not req.is_suspect:
             self._limit_s = min(self._limit_s, req.policy.try_timeout)
 
-    def send_start(self, origin: objects.DataCentreName) -> None:
+    def send_start(
+        self, origin: objects.DataCentreName, work_s: float = 0.0
+    ) -> None:
         """Send the Start; LinkDownError proves that it never left."""
         req = self._req
         start = messages.Start(
@@ -64,13 +65,18 @@
             body=req.body,
             more=req.more,
             remaining_ms=max(0, int(req.remaining_s() * 1000)),
-            rank=admission.RANKS.index(req.policy.request_class),
+            rank=req.policy.rank,
+            slot_share=req.policy.slot_share,
             queue_ms=int(req.policy.queue_time * 1000),
             queue_length=req.policy.queue_length,
             repeatable=req.repeatable,
             fingerprint=req.fingerprint,
             suspect=req.is_suspect,
             origin=origin,
+            target_ms=max(1, int(req.target_left_s() * 1000))
+            if req.policy.latency_target
+            else 0,
+            work_ms=int(work_s * 1000),
         )
         self._exchange.wire.send(start)
 
--- a/jayflow/request/crashes.py
+++ b/jayflow/request/crashes.py
@@ -30,8 +30,12 @@
     """Hold the quarantine and the crash that is going on, if any."""
 
     def __init__(
-        self, metrics: counting.Metrics, clock: Callable[[], float]
+        self,
+        metrics: counting.Metrics,
+        clock: Callable[[], float],
+        strikes: int | None = None,
     ) -> None:
+        self.strikes = strikes
         self.quarantine = quarantine.Quarantine()
         self.spread: Spread = _spread_to_nobody
         self.quarantine_s: Callable[[objects.ServiceName], float] = (
@@ -66,7 +70,8 @@
             await anyio.sleep(SPREAD_LIMIT_S)
             return
         self._is_reported = True
-        remaining_s = self.quarantine_s(service) if is_alone else 0
+        is_proof = is_alone or self.strikes is not None
+        remaining_s = self.quarantine_s(service) if is_proof else 0
         self._metrics.event(counting.Event.CRASH)
         self._log.warning(
             'Server crashed.', beside=len(beside), alone=is_alone
@@ -88,6 +93,10 @@
         if not report.crash:
             for each in found:
                 self.quarantine.clear(each)
+        elif self.strikes is not None:
+            self.quarantine.strike(
+                found, now, self.strikes, report.remaining_ms / 1000
+            )
         elif len(found) == 1 and report.remaining_ms:
             until = now + report.remaining_ms / 1000
             self.quarantine.convict(found[0], until)
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -29,8 +29,8 @@
 TRIED_HEADER = b'jayflow-tried'
 
 
-MAX_DOORS = 8
-HEDGE_LOOK_S = 0.05
+MAX_DOORS = 4
+HEDGE_LOOK_S = 0.03
 # Answers up to this size are held until they are whole; larger ones stream.
 WHOLE_BYTES = 256 * 1024
 NewBudget = Callable[[float], retry.RetryBudget]
@@ -139,7 +139,9 @@
                 await asyncio.wait((first,), timeout=HEDGE_LOOK_S)
                 if first.done():
                     break
-                other = self._hedge(req, view, progress, tried)
+                other = self._hedge(
+                    req, view, progress, tried, budget.is_plenty
+                )
                 if other is not None and budget.spend():
                     tried.append(other.member.node)
                     self._metrics.retried(retry.RetryReason.HEDGE)
@@ -170,6 +172,7 @@
         view: routing.View,
         progress: hedging.Progress,
         tried: list[messages.NodeId],
+        is_plenty: bool,
     ) -> routing.View | None:
         """Return the server for a second attempt, if one is worth it."""
         now = time.monotonic()
@@ -188,6 +191,8 @@
             other_s,
             now - req.arrived,
             req.policy.latency_target,
+            req.remaining_s(),
+            is_plenty,
         )
         return other if is_worth else None
 
@@ -304,7 +309,8 @@
         exchange = self._exchanges.open(wire)
         attempt = attempts.Attempt(req, view, exchange)
         try:
-            attempt.send_start(self._data_centre)
+            work_s = self._estimates.work(req.policy).service_s
+            attempt.send_start(self._data_centre, work_s)
         except sockets.LinkDownError as exc:
             exchange.close()
             return self._not_sent(exc, view)
@@ -314,13 +320,14 @@
                 counting.Timing.LOAD_AGE, time.monotonic() - view.load_at
             )
         begun = time.monotonic()
+        was_slow = view.slowness(begun)
         view.sent(begun)
         result: Result | None = None
         is_kept = False
         try:
             result = await attempt.wait_answer()
             if isinstance(result, answers.Answer):
-                await self._take_whole(req, view, result, begun)
+                await self._take_whole(req, view, result, begun, was_slow)
             is_kept = True
             return result
         except answers.AnswerCutError:
@@ -339,15 +346,17 @@
         view: routing.View,
         answer: answers.Answer,
         begun: float,
+        was_slow: float,
     ) -> None:
         """Read an answer of usual size to its end, so that a cut shows."""
         elapsed_s = time.monotonic() - begun
         await answer.absorb(WHOLE_BYTES)
-        slowness = view.slowness(time.monotonic())
-        if answer.status < attempts.FIRST_ERROR_STATUS:
-            self._estimates.learn(
-                req.policy, elapsed_s, slowness, len(answer.data)
-            )
+        if answer.status >= attempts.FIRST_ERROR_STATUS:
+            return
+        slowness = max(was_slow, view.slowness(time.monotonic()))
+        self._estimates.learn(
+            req.policy, elapsed_s, slowness, len(answer.data)
+        )
 
     def _not_sent(
         self, exc: sockets.LinkDownError, view: routing.View
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import time
 
 import anyio
@@ -17,6 +18,7 @@
 from jayflow import logs
 from jayflow import metrics as counting
 from jayflow.request import admission
+from jayflow.request import concurrency
 from jayflow.request import crashes
 from jayflow.request import dialect as dialects
 from jayflow.request import ledger as attempts
@@ -37,6 +39,7 @@
 SUSPECT_WAIT_S = 2.0
 COLD_SLOT_SHARE = 0.25
 RESEND_S = 0.01
+SLOW = 1.3
 _JUDGED = {
     dialects.Judgement.NOT_RUN: Reason.SERVER_SHED,
     dialects.Judgement.WRONG_INSTANCE: Reason.WRONG_INSTANCE,
@@ -67,13 +70,17 @@
         clock: Callable[[], float] = time.monotonic,
         dialect: dialects.Dialect = dialects.OWN,
         announcement_ttl_s: float = ANNOUNCEMENT_TTL_S,
+        strikes: int | None = None,
+        is_adaptive: bool = False,
     ) -> None:
         self.incarnation = incarnation
         self.dialect = dialect
         self._announcement_ttl_s = announcement_ttl_s
         self._slowness = 1.0
-        self.crashes = crashes.CrashWatch(metrics, clock)
+        self._limit = concurrency.Limit() if is_adaptive else None
+        self.crashes = crashes.CrashWatch(metrics, clock, strikes)
         self.on_change: Callable[[], None] = lambda: None
+        self.on_shift: Callable[[], None] = lambda: None
         self.link_to: LinkTo = _no_link
         self.is_stopping = False
         self.services: tuple[objects.ServiceName, ...] = ()
@@ -121,9 +128,12 @@
 
     def observe(self, report: messages.Report | None) -> None:
         """Take what the server says of its own load, if it said so."""
-        if report is not None:
+        if report is None:
+            return
+        self.reported_at = self._clock()
+        if report.slowness != self._slowness:
             self._slowness = report.slowness
-            self.reported_at = self._clock()
+            self.on_shift()
 
     def _load_for(self, job: serving.Job) -> messages.Load | None:
         """Return the load if the way to the sender has budget for it."""
@@ -233,11 +243,14 @@
         job = serving.Job(start, reply, now)
         job.link = self.link_to(start.origin)
         standing = self.crashes.quarantine.standing(start.fingerprint, now)
-        job.is_alone = bool(start.fingerprint) and (
+        job.is_suspect = bool(start.fingerprint) and (
             start.suspect or standing is quarantine.Standing.SUSPECT
         )
+        job.is_alone = job.is_suspect and self.crashes.strikes is None
         self._jobs[start.attempt] = job
-        if self._admission.try_start(start.service, start.rank, job.is_alone):
+        if self._admission.try_start(
+            start.service, start.rank, job.is_alone, start.slot_share
+        ):
             self._spawn(job)
         else:
             self._enqueue(job, now)
@@ -263,14 +276,20 @@
     def _enqueue(self, job: serving.Job, now: float) -> None:
         start = job.start
         wait_s = SUSPECT_WAIT_S if job.is_alone else start.queue_ms / 1000
-        is_deadline = start.remaining_ms / 1000 < wait_s
+        work_s = start.work_ms / 1000
+        last_s = start.remaining_ms / 1000 - work_s
+        start_by = math.inf
+        if start.target_ms:
+            start_by = now + start.target_ms / 1000 - work_s
         waiting = admission.Waiting(
             start.attempt,
             start.service,
             start.rank,
-            now + min(wait_s, start.remaining_ms / 1000),
-            Reason.DEADLINE if is_deadline else Reason.QUEUE_TIME,
+            now + min(wait_s, last_s),
+            Reason.QUEUE_TIME,
             job.is_alone,
+            start.slot_share,
+            start_by,
         )
         reason = self._admission.enqueue(waiting, start.queue_length, now)
         if reason is not None:
@@ -303,6 +322,7 @@
 
     async def _serve(self, job: serving.Job) -> None:
         start, begun = job.start, self._clock()
+        job.running, job.slowness = self._admission.running, self._slowness
         # A task that is cancelled before its first step runs no finally.
         job.has_begun = True
         try:
@@ -323,10 +343,22 @@
                 counting.Timing.QUEUE, max(0.0, begun - job.arrived_at)
             )
             self._admission.finish(start.service, start.rank, elapsed_s)
+            if job.head_at is not None:
+                self._learn_limit(job, elapsed_s)
             self._start_waiting()
         if job.cancelled is not None and not job.is_closed:
             job.end(messages.Broken, job.cancelled, self.load())
 
+    def _learn_limit(self, job: serving.Job, elapsed_s: float) -> None:
+        """Compare a served request with what it should have taken."""
+        is_usual = max(job.slowness, self._slowness) < SLOW
+        if self._limit is None or not job.start.work_ms or not is_usual:
+            return
+        expected_s = job.start.work_ms / 1000
+        self._limit.observe(job.running, elapsed_s / expected_s)
+        if self._announced is not None:
+            self._resize(self._clock())
+
     async def _serve_started(self, job: serving.Job) -> None:
         start = job.start
         try:
@@ -376,7 +408,7 @@
                 await job.exchange(conn, judge, load)
             finally:
                 job.pool.give(conn)
-        if job.is_alone:
+        if job.is_suspect:
             fingerprint = quarantine.Fingerprint(job.start.fingerprint)
             await self.crashes.clear(fingerprint)
 
@@ -426,7 +458,7 @@
         ]
 
     def _start_waiting(self) -> None:
-        while waiting := self._admission.next_waiting():
+        while waiting := self._admission.next_waiting(self._clock()):
             self._spawn(self._jobs[waiting.item])
 
     def _refuse(
@@ -468,6 +500,8 @@
         slots = effective_slots(
             said.limit, now - self._warm_since, said.cold_start_s
         )
+        if self._limit is not None:
+            slots = self._limit.of(slots)
         self._admission.resize(slots, len(said.services))
 
     def _tick(self, now: float) -> None:
--- a/jayflow/request/estimate.py
+++ b/jayflow/request/estimate.py
@@ -10,6 +10,8 @@
 from jayflow.version import objects
 
 LEARN_SHARE = 0.05
+FIRST_LEARN_SHARE = 0.5
+SLOW = 1.3
 FIRST_TARGET_SHARE = 0.4
 FIRST_SERVICE_S = 0.1
 
@@ -39,13 +41,17 @@
         slowness: float,
         answer_bytes: int,
     ) -> None:
-        """Take a served request; its time counts as on a usual server."""
+        """Take a served request.
+
+        How much of the time a slow server was slow is not known, so its
+        time teaches nothing.
+        """
         means = self._of(policy)
-        share = LEARN_SHARE if means.is_learnt else 1.0
-        means.is_learnt = True
-        usual_s = elapsed_s / max(1.0, slowness)
-        means.service_s += share * (usual_s - means.service_s)
+        share = LEARN_SHARE if means.is_learnt else FIRST_LEARN_SHARE
         means.answer_bytes += share * (answer_bytes - means.answer_bytes)
+        if slowness < SLOW:
+            means.is_learnt = True
+            means.service_s += share * (elapsed_s - means.service_s)
 
     def _of(self, policy: objects.Policy) -> _Means:
         means = self._means.get(policy.name)
--- a/jayflow/request/hedging.py
+++ b/jayflow/request/hedging.py
@@ -11,6 +11,7 @@
 STUCK_RATIO = 3.0
 # The second server must save a good part of the time that is left.
 MIN_SAVING = 0.6
+LARGE_SAVING = 0.4
 
 
 @dataclasses.dataclass
@@ -50,14 +51,19 @@
     other_s: float,
     elapsed_s: float,
     target_s: float,
+    left_s: float,
+    is_plenty: bool = False,
 ) -> bool:
     """Return whether a second attempt, of other_s, is worth its cost.
 
-    The caller has waited for elapsed_s; it wants an answer in target_s.
-
-    It is if it turns an answer that would miss the target into one that
-    keeps it, or if the first attempt is stuck.
+    The caller has waited for elapsed_s, wants an answer in target_s and
+    leaves after another left_s. A second attempt is worth it if it turns
+    an answer that would miss the target, or the deadline, into one that
+    keeps it, or if the first attempt is stuck. With plenty of budget, a
+    large saving is enough: somebody may wait for a late answer as well.
     """
+    if other_s >= left_s:
+        return False
     if progress.is_stuck():
         return True
     remaining_s = progress.remaining_s(slowness)
@@ -65,4 +71,6 @@
         return False
     if not target_s:
         return slowness > 1 and elapsed_s > progress.expected_s
-    return elapsed_s + other_s <= target_s < elapsed_s + remaining_s
+    keeps_target = elapsed_s + other_s <= target_s < elapsed_s + remaining_s
+    saves_much = is_plenty and other_s <= LARGE_SAVING * remaining_s
+    return keeps_target or saves_much or remaining_s > left_s
--- a/jayflow/request/inbound.py
+++ b/jayflow/request/inbound.py
@@ -41,6 +41,11 @@
             return messages.Lane.BULK
         return messages.Lane.SHORT
 
+    def target_left_s(self) -> float:
+        """Return the time in which an answer is worth most."""
+        elapsed_s = time.monotonic() - self.arrived
+        return self.policy.latency_target - elapsed_s
+
     def remaining_s(self) -> float:
         """Return the time that is left."""
         return self.deadline - time.monotonic()
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -32,6 +32,17 @@
 }
 
 
+# A node that starts knows the configuration and its peers in about this
+# time; a full queue moves on in about the time of one request.
+_RETURN_S = {
+    Reason.NO_CONFIGURATION: 0.5,
+    Reason.NO_MEMBER: 0.5,
+    Reason.NODE_STOPPING: 0.5,
+    Reason.QUEUE_TIME: 0.25,
+    Reason.QUEUE_FULL: 0.25,
+}
+
+
 @dataclasses.dataclass(frozen=True)
 class Problem:
     """Hold what a caller is told; retry-after in seconds."""
@@ -53,7 +64,9 @@
             return cls(status, failure.outcome, reason, None)
         status = _STATUSES.get(reason, 503)
         if is_fractional:
-            wait_s = failure.retry_after_s or RETRY_AFTER_FRACTION_S
+            wait_s = failure.retry_after_s or _RETURN_S.get(
+                reason, RETRY_AFTER_FRACTION_S
+            )
         else:
             wait_s = max(RETRY_AFTER_S, math.ceil(failure.retry_after_s))
         retry_after_s = wait_s if status == 503 else None
--- a/jayflow/request/quarantine.py
+++ b/jayflow/request/quarantine.py
@@ -1,8 +1,11 @@
 """Decide which requests crash the backend servers that run them.
 
-A crash makes suspects of all that ran in it. A suspect runs again only
-alone on its server: if that crashes too, no other can have caused it and
-the request is convicted; if it ends, the request is cleared.
+A crash makes suspects of all that ran in it. There are two ways to tell
+the cause from those beside it. Alone: a suspect runs again only alone on
+its server; if that crashes too, no other can have caused it, and if it
+ends, it is cleared. By strikes: a suspect runs beside others, and is
+convicted when a number of crashes came with no clean end between; this
+costs no server its other slots, and some more crashes.
 """
 
 import dataclasses
@@ -28,6 +31,7 @@
 class _Record:
     standing: Standing
     until: float
+    strikes: int = 0
 
 
 def fingerprint(
@@ -60,6 +64,25 @@
             if self.standing(each, now) is Standing.FREE:
                 self._put(each, _Record(Standing.SUSPECT, now + SUSPICION_S))
 
+    def strike(
+        self,
+        found: list[Fingerprint],
+        now: float,
+        most: int,
+        convicted_s: float,
+    ) -> None:
+        """Count one more crash of each; convict at most strikes."""
+        for each in found:
+            record = self._records.get(each)
+            strikes = 1
+            if record is not None and record.until > now:
+                strikes += record.strikes
+            if strikes >= most:
+                self.convict(each, now + convicted_s)
+                continue
+            until = now + SUSPICION_S
+            self._put(each, _Record(Standing.SUSPECT, until, strikes))
+
     def convict(self, each: Fingerprint, until: float) -> None:
         """Record a request that crashed a server alone."""
         self._put(each, _Record(Standing.CONVICTED, until))
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -43,14 +43,20 @@
     def of_fleet(cls, share: float, burst: float, nodes: int) -> Self:
         """Return one node's part of a budget that all nodes share.
 
-        It starts empty: nodes that restart get no second burst.
+        It starts half full: nodes that restart get no second whole burst.
         """
-        return cls(FLEET_MARGIN * share, FLEET_MARGIN * burst / nodes, 0.0)
+        most = FLEET_MARGIN * burst / nodes
+        return cls(FLEET_MARGIN * share, most, most / 2)
 
     def earn(self) -> None:
         """Count a first try."""
         self._tokens = min(self.burst, self._tokens + self.share)
 
+    @property
+    def is_plenty(self) -> bool:
+        """Return whether a try may be spent on a small gain."""
+        return self._tokens >= max(1.0, self.burst / 2)
+
     def spend(self) -> bool:
         """Return whether one more try may be made, and count it."""
         if self._tokens < 1:
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -182,7 +182,7 @@
         if silence > SILENCE_RATIO * ratio:
             ratio = silence
         ratio = max(ratio, self.slowness(now))
-        slots = max(1, self.member.slots)
+        slots = max(1, self.load.slots if self.load else self.member.slots)
         queue = self.queue(now, scale)
         waits = max(0.0, queue + 1 - slots) / slots
         busy = BUSY_WEIGHT * queue / slots
--- a/jayflow/request/serving.py
+++ b/jayflow/request/serving.py
@@ -27,6 +27,9 @@
     ) -> None:
         self.start = start
         self.reply = reply
+        self.running = 0
+        self.slowness = 1.0
+        self.is_suspect = False
         self.is_alone = False
         self.is_reused = False
         self.is_closed = False
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -34,6 +34,13 @@
     BULK = 'bulk'
 
 
+SLOT_SHARE = {
+    RequestClass.INTERACTIVE: 1.0,
+    RequestClass.INTERNAL: 0.75,
+    RequestClass.BULK: 0.5,
+}
+
+
 class Idempotency(enum.Enum):
     """Say how a route's requests may be repeated."""
 
@@ -151,6 +158,13 @@
         Field('priority', quantity.whole),
     )
 
+    @property
+    def slot_share(self) -> float:
+        """Return the part of a server's slots that such requests may take."""
+        if self.priority is not None:
+            return 1.0
+        return SLOT_SHARE[self.request_class]
+
     @property
     def rank(self) -> int:
         """Return the place in a queue; the lowest is served first."""
