Refuse early what a door's queue can't start in time

The queue now estimates the start of each waiting request from its place, and refuses it once that is after its deadline. A server's own 500 counts as a failure that an idempotent request may retry.

--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -50,6 +50,7 @@
     caller_service=wire.CALLER_SERVICE,
     is_unframed_allowed=True,
     has_fractional_retry_after=True,
+    retry_statuses=frozenset({429, 500, 502, 503, 504}),
     judge=judge,
     load_of=load_of,
 )
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -140,6 +140,7 @@
             self._rng,
             cfg.data_centre,
             self._new_retry_budget,
+            around.dialect,
         )
         claimer = keys.Claimer(
             self._platform_at(cfg.claims_per_s), self._metrics
--- a/jayflow/request/admission.py
+++ b/jayflow/request/admission.py
@@ -35,6 +35,12 @@
     # The latest start with which the latency target is kept.
     start_by: float = math.inf
 
+    def place(self, now: float) -> tuple[bool, bool, int, float]:
+        """Return the place in the order; those on time before the late."""
+        is_late = self.start_by < now
+        by = self.until if is_late else self.start_by
+        return not self.alone, is_late, self.rank, by
+
 
 class Admission(Generic[Item]):
     """Count the slots taken and hold the queue."""
@@ -74,15 +80,19 @@
         self, waiting: Waiting[Item], length: int, now: float
     ) -> Reason | None:
         """Add a request to the queue, or return why it is refused."""
-        ahead = sum(each.rank <= waiting.rank for each in self._queue)
+        place = waiting.place(now)
+        ahead = sum(each.place(now) <= place for each in self._queue)
         if not self.slots or ahead >= length:
             return Reason.QUEUE_FULL
-        wait_s = (ahead + 1) * self.latency_s / self.slots
-        if now + wait_s > waiting.until and not waiting.alone:
+        if now + self._wait_s(ahead) > waiting.until and not waiting.alone:
             return waiting.reason
         self._queue.append(waiting)
         return None
 
+    def _wait_s(self, ahead: int) -> float:
+        """Return about when a request starts that has others ahead."""
+        return (ahead + 1) * self.latency_s / self.slots
+
     def finish(self, service: str, rank: int, elapsed_s: float) -> None:
         """Give a slot back and learn the time that the request took."""
         self.running -= 1
@@ -97,13 +107,7 @@
         """Take a slot for the first waiting request that may have one."""
         if self.running >= self.slots:
             return None
-
-        def place(waiting: Waiting[Item]) -> tuple:
-            is_late = waiting.start_by < now
-            by = waiting.until if is_late else waiting.start_by
-            return not waiting.alone, is_late, waiting.rank, by
-
-        for waiting in sorted(self._queue, key=place):
+        for waiting in self._ordered(now):
             if self._take(
                 waiting.service, waiting.rank, waiting.alone, waiting.share
             ):
@@ -114,12 +118,30 @@
         return None
 
     def expired(self, now: float) -> list[Waiting[Item]]:
-        """Remove and return the requests that waited for too long."""
-        late = [each for each in self._queue if each.until <= now]
-        if late:
-            self._queue = [each for each in self._queue if each.until > now]
+        """Remove and return the requests that can't start in time.
+
+        One that others will keep from starting leaves early, while its
+        caller can still try elsewhere.
+        """
+        late = [
+            waiting
+            for ahead, waiting in enumerate(self._ordered(now))
+            if waiting.until <= now or self._is_hopeless(waiting, ahead, now)
+        ]
+        for waiting in late:
+            self._queue.remove(waiting)
         return late
 
+    def _ordered(self, now: float) -> list[Waiting[Item]]:
+        return sorted(self._queue, key=lambda each: each.place(now))
+
+    def _is_hopeless(
+        self, waiting: Waiting[Item], ahead: int, now: float
+    ) -> bool:
+        if waiting.alone or not self.slots or math.isinf(waiting.start_by):
+            return False
+        return now + self._wait_s(ahead) > waiting.until
+
     def remove(self, item: Item) -> bool:
         """Remove a waiting request; return whether it was there."""
         before = len(self._queue)
--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -21,7 +21,6 @@
 CREDIT_TIMEOUT_S = 30.0
 PACE_S = 0.02
 FIRST_ERROR_STATUS = 500
-RETRY_STATUSES = frozenset({429, 502, 503, 504})
 _COOLING = frozenset(
     {
         Reason.PEER_INCARNATION,
@@ -121,7 +120,7 @@
             head, self._exchange, self._view.member.node, self.end
         )
         is_error = head.status >= FIRST_ERROR_STATUS
-        if is_error or head.status in RETRY_STATUSES:
+        if is_error or head.status in answers.SHED_STATUSES:
             self._view.observe_failure(now, answer.retry_after_s)
         else:
             self._view.observe_answer(now - self._begun)
--- a/jayflow/request/dialect.py
+++ b/jayflow/request/dialect.py
@@ -48,6 +48,8 @@
     caller_service: bytes | None = None
     is_unframed_allowed: bool = False
     has_fractional_retry_after: bool = False
+    # A failure with one of these may go away at another server.
+    retry_statuses: frozenset[int] = frozenset({429, 502, 503, 504})
     judge: Callable[[int, messages.Headers], Judgement] = _judge_own
     load_of: Callable[[messages.Headers], messages.Report | None] = _no_load
 
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -14,6 +14,7 @@
 from jayflow import metrics as counting
 from jayflow.request import answer as answers
 from jayflow.request import attempt as attempts
+from jayflow.request import dialect as dialects
 from jayflow.request import estimate
 from jayflow.request import exchange as exchanges
 from jayflow.request import hedging
@@ -48,7 +49,9 @@
         rng: random.Random,
         data_centre: objects.DataCentreName,
         new_budget: NewBudget = retry.RetryBudget,
+        dialect: dialects.Dialect = dialects.OWN,
     ) -> None:
+        self._dialect = dialect
         self._new_budget = new_budget
         self._estimates = estimate.Estimates()
         self._log = logs.get(logs.Part.DISPATCH)
@@ -78,7 +81,7 @@
                 return worst
             tried.append(view.member.node)
             result = await self._attempt_hedged(req, view, tried, budget)
-            failure = _failure_of(req, result)
+            failure = self._failure_of(req, result)
             if failure is None:
                 return result
             worst = outcome.worse(worst, failure)
@@ -159,7 +162,7 @@
             if second is None:
                 chosen = first.result()
             else:
-                chosen = await _first_good(req, first, second)
+                chosen = await self._first_good(req, first, second)
             return chosen
         finally:
             for each in (first, second):
@@ -340,6 +343,44 @@
             elif not is_kept:
                 result.close()
 
+    async def _first_good(
+        self,
+        req: inbound.Request,
+        first: asyncio.Future,
+        second: asyncio.Future,
+    ) -> Result:
+        """Return the first answer of two attempts, else the last failure."""
+        done, waiting = await asyncio.wait(
+            (first, second), return_when=asyncio.FIRST_COMPLETED
+        )
+        result = next(iter(done)).result()
+        if not waiting or self._failure_of(req, result) is None:
+            return result
+        other = await next(iter(waiting))
+        if self._failure_of(req, other) is None:
+            return other
+        return result if isinstance(other, outcome.NotRun) else other
+
+    def _failure_of(
+        self, req: inbound.Request, result: Result
+    ) -> outcome.Failure | None:
+        """Return the failure that a result stands for, if it is one.
+
+        An answer that a lower node already tried elsewhere is final, so
+        that layers do not multiply each other's retries.
+        """
+        if not isinstance(result, answers.Answer):
+            return result
+        if result.header(TRIED_HEADER) is not None:
+            return None
+        if result.is_shed:
+            return outcome.NotRun(
+                Reason.SERVER_SHED, outcome.Evidence.SERVER_SHED
+            )
+        if result.status in self._dialect.retry_statuses and req.repeatable:
+            return outcome.Unknown(Reason.SERVER_FAILED)
+        return None
+
     async def _take_whole(
         self,
         req: inbound.Request,
@@ -369,24 +410,6 @@
         return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
 
 
-async def _first_good(
-    req: inbound.Request, first: asyncio.Future, second: asyncio.Future
-) -> Result:
-    """Return the first answer of two attempts, else the last failure."""
-    done, waiting = await asyncio.wait(
-        (first, second), return_when=asyncio.FIRST_COMPLETED
-    )
-    result = next(iter(done)).result()
-    if not waiting or _failure_of(req, result) is None:
-        return result
-    other = await next(iter(waiting))
-    if _failure_of(req, other) is None:
-        return other
-    if isinstance(other, outcome.NotRun):
-        return result
-    return other
-
-
 async def _drop(attempt: asyncio.Future, chosen: Result | None) -> None:
     """End an attempt unless its result was chosen."""
     if not attempt.done():
@@ -408,22 +431,3 @@
         result.close()
         return worst
     return result
-
-
-def _failure_of(
-    req: inbound.Request, result: Result
-) -> outcome.Failure | None:
-    """Return the failure that a result stands for, if it is one.
-
-    An answer that a lower node already tried elsewhere is final, so that
-    layers do not multiply each other's retries.
-    """
-    if not isinstance(result, answers.Answer):
-        return result
-    if result.header(TRIED_HEADER) is not None:
-        return None
-    if result.is_shed:
-        return outcome.NotRun(Reason.SERVER_SHED, outcome.Evidence.SERVER_SHED)
-    if result.status in attempts.RETRY_STATUSES and req.repeatable:
-        return outcome.Unknown(Reason.SERVER_SHED)
-    return None
--- a/jayflow/request/door.py
+++ b/jayflow/request/door.py
@@ -40,6 +40,10 @@
 COLD_SLOT_SHARE = 0.25
 RESEND_S = 0.01
 SLOW = 1.3
+# Requests differ in length; one in five takes longer than this share more.
+RUN_MARGIN = 1.2
+# Slow spells are short: a run that starts in one ends about this much later.
+SPELL_SLOWNESS = 2.5
 _JUDGED = {
     dialects.Judgement.NOT_RUN: Reason.SERVER_SHED,
     dialects.Judgement.WRONG_INSTANCE: Reason.WRONG_INSTANCE,
@@ -277,7 +281,8 @@
         start = job.start
         wait_s = SUSPECT_WAIT_S if job.is_alone else start.queue_ms / 1000
         work_s = start.work_ms / 1000
-        last_s = start.remaining_ms / 1000 - work_s
+        takes_s = RUN_MARGIN * work_s * min(self._slowness, SPELL_SLOWNESS)
+        last_s = start.remaining_ms / 1000 - takes_s
         start_by = math.inf
         if start.target_ms:
             start_by = now + start.target_ms / 1000 - work_s
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -60,6 +60,7 @@
     GARBAGE_FRAME = 'garbage_frame'
     SERVER_UNREACHABLE = 'server_unreachable'
     SERVER_SHED = 'server_shed'
+    SERVER_FAILED = 'server_failed'
     SERVER_BROKEN = 'server_broken'
     WRONG_INSTANCE = 'wrong_instance'
     SERVER_CRASHED = 'server_crashed'
