--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -31,6 +31,7 @@
     cold_start_s: float = 0.0
     has_seat: bool = False
     instance: str = ''
+    born: int = 0
     left: tuple[Left, ...] = ()
 
     @property
--- a/jayflow/platform/heartbeat.py
+++ b/jayflow/platform/heartbeat.py
@@ -17,6 +17,7 @@
     registration.Verdict.STALE: 200,
     registration.Verdict.LEFT: 200,
     registration.Verdict.NOT_READY: 503,
+    registration.Verdict.UNKNOWN_SERVICE: 400,
 }
 
 
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -183,7 +183,7 @@
             cfg.max_pause,
         )
         self._registration = registration.Registration(
-            self._door, self._registrar
+            self._door, self._registrar, self._is_known_service
         )
         self._pusher = pushing.Pusher(
             self._door,
@@ -325,7 +325,7 @@
         if entry is not None:
             with contextlib.suppress(msgspec.DecodeError):
                 before = members.Member.decode(entry.value)
-                self._registration.order.left = before.left
+                self._registration.order.recall(before)
         self._registration.is_ready = True
         await self._registrar.run()
 
@@ -621,6 +621,14 @@
             return None
         return self._described()
 
+    def _is_known_service(self, name: objects.ServiceName) -> bool:
+        version = self._holder.current
+        # With the own interface a server may start before it is published.
+        is_own = self._around is boundaries.OWN
+        if is_own or version.number == snapshot.NO_VERSION:
+            return True
+        return name in version.objects.service
+
     def _described(self) -> members.Member:
         said = self._door.announced
         return members.Member(
@@ -635,6 +643,7 @@
             0.0 if said is None else said.cold_start_s,
             self._crossings.has_seats(),
             said.instance if said else '',
+            said.born if said else 0,
             self._registration.order.left,
         )
 
--- a/jayflow/process/registration.py
+++ b/jayflow/process/registration.py
@@ -6,6 +6,7 @@
 the node's next process knows it too.
 """
 
+from collections.abc import Callable
 import enum
 
 from jayflow.connection import announcement
@@ -13,6 +14,7 @@
 from jayflow import logs
 from jayflow.process import registrar as registrars
 from jayflow.request import door as doors
+from jayflow.version import objects
 
 # A server calls the next node when it has no answer within a second.
 SETTLE_S = 0.8
@@ -26,6 +28,7 @@
     STALE = 'stale'
     LEFT = 'left'
     NOT_READY = 'not-ready'
+    UNKNOWN_SERVICE = 'unknown-service'
 
 
 class Order:
@@ -33,6 +36,7 @@
 
     def __init__(self) -> None:
         self.left: tuple[members.Left, ...] = ()
+        self.leaving: members.Left | None = None
         self._newest: dict[str, tuple[int, int]] = {}
         self._current: members.Left | None = None
 
@@ -41,6 +45,8 @@
         who = members.Left(said.instance, said.born)
         if who in self.left:
             return Verdict.LEFT
+        if said.born and who == self.leaving and not said.draining:
+            return Verdict.STALE
         mark = (said.born, said.sequence)
         if said.sequence and mark <= self._newest.get(said.instance, (0, 0)):
             return Verdict.STALE
@@ -48,8 +54,16 @@
             return Verdict.STALE
         self._newest = {said.instance: mark}
         self._current = who
+        if said.draining:
+            self.leaving = who
         return Verdict.TAKEN
 
+    def recall(self, before: members.Member) -> None:
+        """Learn what the node's last process had promised."""
+        self.left = before.left
+        if before.draining:
+            self.leaving = members.Left(before.instance, before.born)
+
     def leave(self, who: members.Left) -> bool:
         """Remember that a server left; return whether it is current."""
         if who not in self.left:
@@ -86,7 +100,9 @@
         self,
         door: doors.Door,
         registrar: registrars.Registrar,
+        is_known: Callable[[objects.ServiceName], bool] = lambda name: True,
     ) -> None:
+        self._is_known = is_known
         self.door = door
         self.order = Order()
         self.is_ready = True
@@ -97,6 +113,13 @@
         """Take an announcement; NOT_READY asks for it to be sent again."""
         if not self.is_ready:
             return Verdict.NOT_READY
+        if not all(self._is_known(name) for name in said.services):
+            self._log.warning(
+                'Announcement names an unknown service.',
+                instance=said.instance,
+                services=said.services,
+            )
+            return Verdict.UNKNOWN_SERVICE
         verdict = self.order.judge(said)
         if verdict is not Verdict.TAKEN:
             if verdict is Verdict.STALE:
--- a/tests/process/test_registration.py
+++ b/tests/process/test_registration.py
@@ -9,6 +9,12 @@
 Verdict = registration.Verdict
 
 
+def _member(**changes) -> members.Member:
+    return members.Member(
+        'n1', 1, 'dc', '127.0.0.1', 1, instance='i1', born=10, **changes
+    )
+
+
 def said(instance='i1', born=10, sequence=1, **changes):
     """Return an announcement."""
     return announcement.Announcement(
@@ -65,6 +71,22 @@
         order.left = (members.Left('i1', 10),)
         self.assertIs(Verdict.LEFT, order.judge(said(sequence=5)))
 
+    def test_who_drains_is_not_ready_again(self):
+        drains = announcement.Announcement(
+            'i1', ('s',), '127.0.0.1', 80, 4, draining=True, born=10
+        )
+        for title, order in (
+            ('in one process', registration.Order()),
+            ('in the next process', registration.Order()),
+        ):
+            with self.subTest(title):
+                if title == 'in one process':
+                    order.judge(drains)
+                else:
+                    order.recall(_member(draining=True))
+                self.assertIs(Verdict.STALE, order.judge(said(sequence=9)))
+                self.assertIs(Verdict.TAKEN, order.judge(said(born=20)))
+
     def test_a_late_goodbye_does_not_remove_the_next_server(self):
         order = registration.Order()
         order.judge(said('i2', born=11))
