--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -184,7 +184,8 @@
         if len(tried) >= req.policy.tries:
             return None
         other = self._choose(req, tried)
-        if other is None:
+        if other is None or not other.has_room():
+            # What waits in one queue is not helped by a place in another.
             return None
         other_s = progress.expected_s * other.slowness(now)
         other_s += routing.RTT_S[other.distance]
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -140,6 +140,13 @@
         """Return whether a member that pushes its state has stopped."""
         return SILENT_S < now - self.heard_at < math.inf
 
+    def has_room(self) -> bool:
+        """Return whether a slot was free, by the last report."""
+        if self.load is None:
+            return True
+        taken = self.load.running + self.load.queued + self.sent_since
+        return taken < self.load.slots
+
     def slowness(self, now: float) -> float:
         """Return how many times longer work takes there, as reported."""
         if self.load is None or now - self.load_at > SLOWNESS_TRUST_S:
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -125,6 +125,16 @@
         self.assertEqual(0, len(self.open))
         self.assertEqual(1, len(self.doors[0].cancelled))
 
+    async def test_a_queue_elsewhere_is_no_hedge(self):
+        scripts = [lambda start: [], lambda start: [head(start)]]
+        dispatcher = self.build(*scripts)
+        self.views[1].cooldown_until = time.monotonic() + 0.1
+        self.views[1].load = messages.Load(4, 3, 4, 0.0)
+        req = request(deadline=time.monotonic() + 1.0)
+        result = await dispatcher.run(req)
+        self.assertIsInstance(result, outcome.Failure)
+        self.assertEqual([], self.doors[1].starts)
+
     async def test_other_work_is_never_hedged(self):
         scripts = [lambda start: [], lambda start: [head(start)]]
         dispatcher = self.build(*scripts)
