--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import random
 import secrets
 import signal
@@ -28,13 +27,14 @@
 from jayflow.process import directory as directories
 from jayflow.process import duty
 from jayflow.process import following
+from jayflow.process import live_settings
 from jayflow.process import polling
 from jayflow.process import pushing
 from jayflow.process import readiness
 from jayflow.process import registrar as registrars
 from jayflow.process import registration
+from jayflow.process import reporting
 from jayflow.process import settings as process_settings
-from jayflow.process import status
 from jayflow.request import claims
 from jayflow.request import dispatch
 from jayflow.request import door as doors
@@ -45,7 +45,6 @@
 from jayflow.request import outcome
 from jayflow.request import owners
 from jayflow.request import problem
-from jayflow.request import quarantine
 from jayflow.request import retry
 from jayflow.request import routing
 from jayflow.version import objects
@@ -55,16 +54,8 @@
 Reason = outcome.Reason
 INCARNATION_BITS = 62
 HOUSEKEEPING_S = 5.0
-MAX_AGE_S = 1e6
 # A forced stop still tells its callers, before the process is killed.
 FORCE_MARGIN_S = 0.3
-RELOADABLE = (
-    'service',
-    'retry_share',
-    'fleet_retry_burst',
-    'leave_time',
-    'stop_limit',
-)
 
 
 class _LocalWire:
@@ -104,7 +95,7 @@
     ) -> None:
         self._cfg = cfg
         self._around = around
-        self._settings_ns = 0
+        self._live = live_settings.LiveSettings(cfg)
         self._log = logs.get(logs.Part.NODE)
         self._metrics = counting.Metrics.from_address(cfg.statsd)
         self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
@@ -168,7 +159,7 @@
             lambda: self._holder.current,
             self._metrics,
             around.dialect,
-            lambda: self._cfg.service,
+            lambda: self._live.current.service,
             self._rng,
         )
         self._platform = self._platform_at(cfg.calls_per_s)
@@ -218,6 +209,14 @@
             self._rng,
             self._registrar.notify,
         )
+        self._reporter = reporting.Reporter(
+            self._directory,
+            self._holder,
+            self._door,
+            self._metrics,
+            self._store_age_s,
+            self._crossings.status,
+        )
         self._listener: sockets.Listener | None = None
 
     @classmethod
@@ -240,7 +239,7 @@
             self._ingress, *self._cfg.http, self._bad_request
         )
         announce_app = self._around.announce_app(
-            self._cfg, self._registration, self._status
+            self._cfg, self._registration, self._reporter.status
         )
         announced = http_server.create(
             announce_app, *self._cfg.announce, self._bad_request
@@ -258,16 +257,16 @@
                 self._subscriptions.run,
                 callers.serve,
                 announced.serve,
+                self._live.run,
             ):
                 tasks.start_soon(part)
-            tasks.start_soon(self._watch_settings)
             for follower in self._followers:
                 tasks.start_soon(follower.run)
             if self._cfg.ready is not None:
                 app = readiness.App(lambda: self._is_ready)
                 tasks.start_soon(self._serve, app, self._cfg.ready)
             if self._cfg.metrics is not None:
-                app = readiness.MetricsApp(self._metrics_text)
+                app = readiness.MetricsApp(self._reporter.metrics_text)
                 tasks.start_soon(self._serve, app, self._cfg.metrics)
             self._log.info(
                 'Node started.',
@@ -312,7 +311,7 @@
     def _store_age_s(self, now: float) -> float:
         """Return how long ago the platform was last heard, in seconds."""
         heard_at = min(each.heard_at for each in self._followers)
-        return min(now - heard_at, MAX_AGE_S)
+        return min(now - heard_at, reporting.MAX_AGE_S)
 
     async def _run_registrar(self) -> None:
         """Learn what the node's last process knew before it writes."""
@@ -329,62 +328,9 @@
         self._registration.is_ready = True
         await self._registrar.run()
 
-    async def _watch_settings(self) -> None:
-        """Read the settings again on SIGHUP and when the file changed."""
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self._reload()
-
-    def _reload_if_changed(self) -> None:
-        """Reload when the settings file is another than the one read."""
-        if self._cfg.file is None:
-            return
-        with contextlib.suppress(OSError):
-            changed_ns = self._cfg.file.stat().st_mtime_ns
-            if changed_ns != self._settings_ns:
-                is_first = self._settings_ns == 0
-                self._settings_ns = changed_ns
-                if not is_first:
-                    self._reload()
-
-    def _reload(self) -> None:
-        """Take settings that may change at run time; keep faulty ones out."""
-        if self._cfg.file is None:
-            return
-        try:
-            cfg = process_settings.Settings.from_file(self._cfg.file)
-        except (OSError, ExceptionGroup) as exc:
-            self._log.error('Settings are not used.', error=repr(exc))
-            return
-        changed = [
-            field.name
-            for field in dataclasses.fields(cfg)
-            if getattr(cfg, field.name) != getattr(self._cfg, field.name)
-        ]
-        fixed = [name for name in changed if name not in RELOADABLE]
-        self._cfg = dataclasses.replace(
-            self._cfg, **{name: getattr(cfg, name) for name in RELOADABLE}
-        )
-        self._log.info('Settings are read.', changed=changed, ignored=fixed)
-
     async def _serve(self, app, address: quantity.Address) -> None:
         await http_server.create(app, *address, self._bad_request).serve()
 
-    def _metrics_text(self) -> str:
-        now = time.monotonic()
-        load = self._door.load()
-        return self._metrics.text(
-            {
-                'version': self._holder.current.number,
-                'platform_age_seconds': self._store_age_s(now),
-                'members': len(self._directory.known_members()),
-                'door_running': load.running,
-                'door_queued': load.queued,
-                'door_slots': load.slots,
-                'server_slowness': load.slowness,
-            }
-        )
-
     @property
     def _is_ready(self) -> bool:
         """Return whether callers should be sent to this node."""
@@ -392,11 +338,12 @@
         return has_version and not self._ingress.is_stopping
 
     def _new_retry_budget(self, share: float) -> retry.RetryBudget:
-        burst = self._cfg.fleet_retry_burst
+        burst = self._live.current.fleet_retry_burst
         if burst is None:
             return retry.RetryBudget(share)
-        nodes = len(self._directory.known_members()) + 1
-        return retry.RetryBudget.of_fleet(share, burst, nodes)
+        return retry.RetryBudget.of_fleet(
+            share, burst, lambda: len(self._directory.known_members())
+        )
 
     def _push(self, peer: sockets.RoutingId, state: messages.State) -> None:
         self._listener.send(peer, state)
@@ -412,7 +359,7 @@
                     self._stop_gracefully, callers, tasks.cancel_scope
                 )
                 with anyio.move_on_after(
-                    max(0.0, self._cfg.stop_limit - FORCE_MARGIN_S)
+                    max(0.0, self._live.current.stop_limit - FORCE_MARGIN_S)
                 ):
                     await anext(signals)
                 cut = self._door.busy + len(self._exchanges)
@@ -427,7 +374,7 @@
         with anyio.move_on_after(self._cfg.call_deadline):
             await self._registrar.write()
             await self._crossings.release()
-        await anyio.sleep(self._cfg.leave_time)
+        await anyio.sleep(self._live.current.leave_time)
         await self._door.wait_idle()
         callers.should_exit = True
         while callers.server_state.connections or len(self._exchanges):
@@ -444,7 +391,6 @@
     async def _run_housekeeping(self) -> None:
         while True:
             await anyio.sleep(HOUSEKEEPING_S)
-            self._reload_if_changed()
             self._links.close_idle(self._exchanges.is_using)
 
     def _platform_at(self, calls_per_s: int) -> api.Platform:
@@ -498,7 +444,7 @@
         elif isinstance(message, messages.Unlisted):
             self._registrar.lose()
         elif isinstance(message, messages.StatusQuery):
-            reply(messages.Status(message.attempt, self._status()))
+            reply(messages.Status(message.attempt, self._reporter.status()))
         elif isinstance(message, messages.KeyQuery):
             reply(self._key_answer(message))
         elif isinstance(message, messages.ClaimQuery):
@@ -615,9 +561,10 @@
         """Return what the platform should hold of this node, if anything."""
         left = self._registration.order.left
         is_serving = self._door.announced is not None
-        if self._door.is_stopping and self._around is boundaries.OWN:
-            return None
-        if not is_serving and not left:
+        is_leaving = self._door.is_stopping and (
+            self._around is boundaries.OWN or not is_serving
+        )
+        if is_leaving or not (is_serving or left):
             return None
         return self._described()
 
@@ -652,58 +599,6 @@
         self._registrar.notify()
         self._pusher.push()
 
-    def _status(self) -> bytes:
-        now = time.monotonic()
-        load = self._door.load()
-        said = self._door.announced
-        standing = quarantine.Standing
-        return msgspec.json.encode(
-            status.NodeStatus(
-                node=self._cfg.name,
-                incarnation=self.incarnation,
-                data_centre=self._cfg.data_centre,
-                version=self._holder.current.number,
-                services=said.services if said else (),
-                slots=load.slots,
-                running=load.running,
-                queued=load.queued,
-                draining=load.draining,
-                stopping=self._door.is_stopping,
-                suspects=self._door.crashes.quarantine.count(
-                    standing.SUSPECT, now
-                ),
-                quarantined=self._door.crashes.quarantine.count(
-                    standing.CONVICTED, now
-                ),
-                links=self._crossings.status(),
-                platform_age_s=self._platform_age_s(now),
-                members=tuple(
-                    self._member_status(member, now)
-                    for member in self._directory.known_members()
-                ),
-                counters=dict(self._metrics.totals),
-            )
-        )
-
-    def _platform_age_s(self, now: float) -> float | None:
-        age_s = self._store_age_s(now)
-        return None if age_s >= MAX_AGE_S else age_s
-
-    def _member_status(
-        self, member: members.Member, now: float
-    ) -> status.MemberStatus:
-        view = self._directory.view(member.node)
-        age_s = now - view.load_at if view.load else None
-        return status.MemberStatus(
-            member.node,
-            member.data_centre,
-            member.services,
-            member.draining,
-            view.failures,
-            max(0.0, view.cooldown_until - now),
-            age_s,
-        )
-
 
 async def serve_until_signal(server) -> None:
     """Serve one HTTP server until a signal asks to stop."""
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -1,5 +1,6 @@
 """Decide whether a failed attempt is followed by another."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Self
@@ -32,30 +33,37 @@
     def __init__(
         self,
         share: float,
-        burst: float = MAX_TOKENS,
-        tokens: float = MAX_TOKENS,
+        burst: Callable[[], float] = lambda: MAX_TOKENS,
+        first_share: float = 1.0,
     ) -> None:
         self.share = share
-        self.burst = burst
-        self._tokens = min(burst, tokens)
+        self._burst = burst
+        self._tokens = first_share * burst()
 
     @classmethod
-    def of_fleet(cls, share: float, burst: float, nodes: int) -> Self:
+    def of_fleet(
+        cls, share: float, burst: float, nodes: Callable[[], int]
+    ) -> Self:
         """Return one node's part of a budget that all nodes share.
 
+        The part follows the number of nodes that are known.
+
         It starts half full: nodes that restart get no second whole burst.
         """
-        most = FLEET_MARGIN * burst / nodes
-        return cls(FLEET_MARGIN * share, most, most / 2)
+
+        def part() -> float:
+            return FLEET_MARGIN * burst / max(1, nodes())
+
+        return cls(FLEET_MARGIN * share, part, 0.5)
 
     def earn(self) -> None:
         """Count a first try."""
-        self._tokens = min(self.burst, self._tokens + self.share)
+        self._tokens = min(self._burst(), self._tokens + self.share)
 
     @property
     def is_plenty(self) -> bool:
         """Return whether a try may be spent on a small gain."""
-        return self._tokens >= max(1.0, self.burst / 2)
+        return self._tokens >= max(1.0, self._burst() / 2)
 
     def spend(self) -> bool:
         """Return whether one more try may be made, and count it."""
--- a/tests/connection/test_server.py
+++ b/tests/connection/test_server.py
@@ -71,6 +71,7 @@
                 for piece in pieces:
                     if not piece:
                         writer.write_eof()
+                        continue
                     writer.write(piece)
                     await writer.drain()
                     await asyncio.sleep(0.02)
--- a/tests/request/test_choices.py
+++ b/tests/request/test_choices.py
@@ -115,7 +115,7 @@
     def test_all_nodes_together_keep_the_budget(self):
         share, burst, nodes = 0.2, 62, 13
         budgets = [
-            retry.RetryBudget.of_fleet(share, burst, nodes)
+            retry.RetryBudget.of_fleet(share, burst, lambda: nodes)
             for _ in range(nodes)
         ]
         spent, requests = 0, 0
@@ -126,8 +126,18 @@
                 spent += budget.spend()
         self.assertLessEqual(spent, share * requests)
 
+    def test_a_part_shrinks_when_more_nodes_are_known(self):
+        known = 1
+        budget = retry.RetryBudget.of_fleet(0.2, 62, lambda: known)
+        known = 13
+        budget.earn()
+        spent = sum(budget.spend() for _ in range(1000))
+        self.assertLessEqual(spent, 62 / 13)
+
     def test_saved_tokens_stay_within_the_burst(self):
-        budgets = [retry.RetryBudget.of_fleet(0.2, 62, 13) for _ in range(13)]
+        budgets = [
+            retry.RetryBudget.of_fleet(0.2, 62, lambda: 13) for _ in range(13)
+        ]
         for budget in budgets:
             for _ in range(1000):
                 budget.earn()
