--- a/jayflow/process/following.py
+++ b/jayflow/process/following.py
@@ -26,6 +26,8 @@
 WATCH_WAIT_S = 20.0
 OFF_DUTY_LOOK_S = 0.25
 OFF_DUTY_LIST_S = 30.0
+# A list takes a call for some hundred members, so a large fleet lists seldom.
+LIST_S_PER_MEMBER = 0.1
 # Nodes that start together write their objects within the first seconds.
 FIRST_LIST_S = 3.0
 
@@ -94,7 +96,9 @@
         if self.is_on_duty(now) or self._listed_at < 0:
             return True
         if now - self._listed_at > self._look_s:
-            self._look_s = self._rng.uniform(0.5, 1.0) * OFF_DUTY_LIST_S
+            members_s = LIST_S_PER_MEMBER * len(self._directory.views())
+            most_s = OFF_DUTY_LIST_S + members_s
+            self._look_s = self._rng.uniform(0.5, 1.0) * most_s
             return True
         return False
 
