Count a goodbye that comes before any announcement

A goodbye carries no start; without an announcement before it the node noted start 0, and the next late heartbeat counted as another start. Such a goodbye now covers all starts up to now.

--- a/jayflow/process/registration.py
+++ b/jayflow/process/registration.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import enum
+import time
 
 from jayflow.connection import announcement
 from jayflow.connection import member as members
@@ -43,7 +44,7 @@
     def judge(self, said: announcement.Announcement) -> Verdict:
         """Return whether an announcement is news, and remember it."""
         who = members.Left(said.instance, said.born)
-        if who in self.left:
+        if self._has_left(who):
             return Verdict.LEFT
         if said.born and who == self.leaving and not said.draining:
             return Verdict.STALE
@@ -65,23 +66,26 @@
             self.leaving = members.Left(before.instance, before.born)
 
     def leave(self, who: members.Left) -> bool:
-        """Remember that a server left; return whether it is current."""
-        if who not in self.left:
+        """Remember that a server left; return whether it is current.
+
+        Its earlier starts under the same name have left as well.
+        """
+        if not self._has_left(who):
             self.left = (*self.left, who)[-MAX_LEFT:]
-        is_current = self._current == who
+        current = self._current
+        is_current = current is not None and _is_same_or_earlier(current, who)
         if is_current:
             self._current = None
         return is_current
 
-    def born_of(self, instance: str) -> int:
-        """Return when an instance was born, if it is current, else 0."""
+    def born_of(self, instance: str, now_ms: int) -> int:
+        """Return when an instance was born, if it is current, else now."""
         if self._current and self._current.instance == instance:
             return self._current.born
-        return 0
+        return now_ms
 
-    def lose(self) -> None:
-        """Forget the current server: any that has not left may follow."""
-        self._current = None
+    def _has_left(self, who: members.Left) -> bool:
+        return any(_is_same_or_earlier(who, each) for each in self.left)
 
     def _is_older(self, who: members.Left) -> bool:
         """Return whether a server started before the current one."""
@@ -93,6 +97,11 @@
         )
 
 
+def _is_same_or_earlier(one: members.Left, other: members.Left) -> bool:
+    """Return whether one is a start of the other's server, or before it."""
+    return one.instance == other.instance and one.born <= other.born
+
+
 class Registration:
     """Pass a server's announcements to the door and the platform."""
 
@@ -141,13 +150,14 @@
         """Take a server's word that it is gone for good."""
         if not self.is_ready:
             return Verdict.NOT_READY
-        who = members.Left(instance, born or self.order.born_of(instance))
-        is_new = who not in self.order.left
-        if self.order.leave(who):
+        now_ms = int(time.time() * 1000)
+        born = born or self.order.born_of(instance, now_ms)
+        before = self.order.left
+        if self.order.leave(members.Left(instance, born)):
             self.door.withdraw()
-        if not is_new:
+        if self.order.left == before:
             return Verdict.LEFT
-        self._log.info('Server has left.', instance=instance, born=who.born)
+        self._log.info('Server has left.', instance=instance, born=born)
         self.door.on_change()
         return await self._settle()
 
--- a/tests/process/test_registration.py
+++ b/tests/process/test_registration.py
@@ -71,6 +71,14 @@
         order.left = (members.Left('i1', 10),)
         self.assertIs(Verdict.LEFT, order.judge(said(sequence=5)))
 
+    def test_a_goodbye_before_any_announcement_counts(self):
+        order = registration.Order()
+        now_ms = 1000
+        born = order.born_of('i1', now_ms)
+        self.assertFalse(order.leave(members.Left('i1', born)))
+        self.assertIs(Verdict.LEFT, order.judge(said(born=10, sequence=5)))
+        self.assertIs(Verdict.TAKEN, order.judge(said(born=2000)))
+
     def test_who_drains_is_not_ready_again(self):
         drains = announcement.Announcement(
             'i1', ('s',), '127.0.0.1', 80, 4, draining=True, born=10
