Count both attempts of a failed pair against a route's limit

Found by reading: after a hedge whose two attempts both failed, a third server was tried although the route allows two. test_dispatch shows it (an answer of the third before, unknown after). The race of two attempts is a module of its own.

--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -1,9 +1,7 @@
 """Send a request to backend servers until it ends in one outcome."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import random
 import time
@@ -20,6 +18,7 @@
 from jayflow.request import hedging
 from jayflow.request import inbound
 from jayflow.request import outcome
+from jayflow.request import racing
 from jayflow.request import resume
 from jayflow.request import retry
 from jayflow.request import routing
@@ -29,14 +28,21 @@
 Result = attempts.Result
 TRIED_HEADER = b'jayflow-tried'
 
-
+# Loads are fresh enough that further doors would refuse as well.
 MAX_DOORS = 4
-HEDGE_LOOK_S = 0.03
 # Answers up to this size are held until they are whole; larger ones stream.
 WHOLE_BYTES = 256 * 1024
 NewBudget = Callable[[float], retry.RetryBudget]
 
 
+@dataclasses.dataclass
+class _Course:
+    """Follow one request: doors tried, and servers that may have run it."""
+
+    tried: list[messages.NodeId] = dataclasses.field(default_factory=list)
+    reached: int = 0
+
+
 class Dispatcher:
     """Choose servers, run attempts and decide on retries."""
 
@@ -70,29 +76,30 @@
         """
         budget = self._budget_of(req)
         budget.earn()
-        tried: list[messages.NodeId] = []
-        reached = 0
+        course = _Course()
         worst: outcome.Failure = outcome.NotRun(
             Reason.NO_MEMBER, outcome.Evidence.NEVER_SENT
         )
         while True:
-            view = self._choose(req, tried)
+            view = self._choose(req, course.tried)
             if view is None:
                 return worst
-            tried.append(view.member.node)
-            result = await self._attempt_hedged(req, view, tried, budget)
+            course.tried.append(view.member.node)
+            result = await self._attempt_hedged(req, view, course, budget)
             failure = self._failure_of(req, result)
             if failure is None:
                 return result
             worst = outcome.worse(worst, failure)
-            has_reached = retry.has_reached_server(failure)
-            reached += has_reached
-            reason = self._retry_reason(req, failure, reached, len(tried))
-            may_retry = self._may_retry(req, tried, reason)
-            if may_retry and reached and not budget.spend():
+            course.reached += retry.has_reached_server(failure)
+            reason = self._retry_reason(req, failure, course)
+            may_retry = (
+                reason is not None
+                and self._choose(req, course.tried) is not None
+            )
+            if may_retry and course.reached and not budget.spend():
                 self._metrics.refused(Reason.RETRY_BUDGET)
                 may_retry = False
-            self._log_failure(req, view, failure, reached, may_retry)
+            self._log_failure(req, view, failure, course, may_retry)
             if not may_retry:
                 return _final(result, worst)
             if isinstance(result, answers.Answer):
@@ -104,7 +111,7 @@
         req: inbound.Request,
         view: routing.View,
         failure: outcome.Failure,
-        reached: int,
+        course: '_Course',
         is_retried: bool,
     ) -> None:
         load_age_s = time.monotonic() - view.load_at
@@ -115,7 +122,7 @@
             instance=view.member.instance,
             reason=failure.reason.value,
             outcome=failure.outcome.value,
-            servers_reached=reached,
+            servers_reached=course.reached,
             retried=is_retried,
             slowness=view.load.slowness if view.load else None,
             load_age_ms=round(load_age_s * 1000) if view.load else None,
@@ -126,64 +133,54 @@
         self,
         req: inbound.Request,
         view: routing.View,
-        tried: list[messages.NodeId],
+        course: '_Course',
         budget: retry.RetryBudget,
     ) -> Result:
         """Attempt, and once more elsewhere if the first server is slow."""
-        if not req.repeatable or req.more or req.policy.tries < 2:
+        has_second = course.reached + 2 <= req.policy.tries
+        if not req.repeatable or req.more or not has_second:
             return await self._attempt(req, view)
-        first = asyncio.ensure_future(self._attempt(req, view))
-        second: asyncio.Future | None = None
         work = self._estimates.work(req.policy)
         progress = hedging.Progress.start(work.service_s, time.monotonic())
-        chosen: Result | None = None
-        try:
-            while second is None and not first.done():
-                await asyncio.wait((first,), timeout=HEDGE_LOOK_S)
-                if first.done():
-                    break
-                other = self._hedge(
-                    req, view, progress, tried, budget.is_plenty
-                )
-                if other is not None and budget.spend():
-                    tried.append(other.member.node)
-                    self._metrics.retried(retry.RetryReason.HEDGE)
-                    self._log.info(
-                        'Second attempt is sent.',
-                        id=req.id,
-                        first=view.member.node,
-                        second=other.member.node,
-                        slowness=view.slowness(time.monotonic()),
-                        done_share=round(
-                            progress.done_s / progress.expected_s, 2
-                        ),
-                    )
-                    second = asyncio.ensure_future(self._attempt(req, other))
-            if second is None:
-                chosen = first.result()
-            else:
-                chosen = await self._first_good(req, first, second)
-            return chosen
-        finally:
-            for each in (first, second):
-                if each is not None:
-                    await _drop(each, chosen)
+
+        def find_second() -> routing.View | None:
+            other = self._hedge(req, view, progress, course, budget.is_plenty)
+            if other is None or not budget.spend():
+                return None
+            course.tried.append(other.member.node)
+            # Both attempts can reach a server; one is counted by the result.
+            course.reached += 1
+            self._metrics.retried(retry.RetryReason.HEDGE)
+            self._log.info(
+                'Second attempt is sent.',
+                id=req.id,
+                first=view.member.node,
+                second=other.member.node,
+                slowness=view.slowness(time.monotonic()),
+                done_share=round(progress.done_s / progress.expected_s, 2),
+            )
+            return other
+
+        return await racing.race(
+            view,
+            lambda chosen: self._attempt(req, chosen),
+            find_second,
+            lambda result: self._failure_of(req, result) is None,
+        )
 
     def _hedge(
         self,
         req: inbound.Request,
         view: routing.View,
         progress: hedging.Progress,
-        tried: list[messages.NodeId],
+        course: '_Course',
         is_plenty: bool,
     ) -> routing.View | None:
         """Return the server for a second attempt, if one is worth it."""
         now = time.monotonic()
         slowness = view.slowness(now)
         progress.advance(now, slowness)
-        if len(tried) >= req.policy.tries:
-            return None
-        other = self._choose(req, tried)
+        other = self._choose(req, course.tried)
         if other is None or not other.has_room():
             # What waits in one queue is not helped by a place in another.
             return None
@@ -200,14 +197,6 @@
         )
         return other if is_worth else None
 
-    def _may_retry(
-        self,
-        req: inbound.Request,
-        tried: list[messages.NodeId],
-        reason: retry.RetryReason | None,
-    ) -> bool:
-        return reason is not None and self._choose(req, tried) is not None
-
     async def read_on(
         self, req: inbound.Request, answer: answers.Answer
     ) -> AsyncIterator[tuple[bytes, bool]]:
@@ -286,13 +275,12 @@
         self,
         req: inbound.Request,
         failure: outcome.Failure,
-        reached: int,
-        doors: int,
+        course: '_Course',
     ) -> retry.RetryReason | None:
-        if doors >= MAX_DOORS:
+        if len(course.tried) >= MAX_DOORS:
             return None
         situation = retry.Situation(
-            reached,
+            course.reached,
             req.policy.tries,
             req.remaining_s(),
             req.repeatable,
@@ -344,24 +332,6 @@
             elif not is_kept:
                 result.close()
 
-    async def _first_good(
-        self,
-        req: inbound.Request,
-        first: asyncio.Future,
-        second: asyncio.Future,
-    ) -> Result:
-        """Return the first answer of two attempts, else the last failure."""
-        done, waiting = await asyncio.wait(
-            (first, second), return_when=asyncio.FIRST_COMPLETED
-        )
-        result = next(iter(done)).result()
-        if not waiting or self._failure_of(req, result) is None:
-            return result
-        other = await next(iter(waiting))
-        if self._failure_of(req, other) is None:
-            return other
-        return result if isinstance(other, outcome.NotRun) else other
-
     def _failure_of(
         self, req: inbound.Request, result: Result
     ) -> outcome.Failure | None:
@@ -411,19 +381,6 @@
         return outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
 
 
-async def _drop(attempt: asyncio.Future, chosen: Result | None) -> None:
-    """End an attempt unless its result was chosen."""
-    if not attempt.done():
-        attempt.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await attempt
-    if attempt.cancelled() or attempt.exception() is not None:
-        return
-    result = attempt.result()
-    if isinstance(result, answers.Answer) and result is not chosen:
-        result.close()
-
-
 def _final(result: Result, worst: outcome.Failure) -> Result:
     """Return what a request ends with after its last attempt."""
     if not isinstance(result, answers.Answer):
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -125,6 +125,23 @@
         self.assertEqual(0, len(self.open))
         self.assertEqual(1, len(self.doors[0].cancelled))
 
+    async def test_a_failed_pair_counts_as_two(self):
+        starts = []
+
+        def fail_twice(start):
+            starts.append(start)
+            if len(starts) > 2:
+                return [head(start)]
+            loop = asyncio.get_running_loop()
+            broken = messages.Broken(start.attempt, 'server_broken', None)
+            loop.call_later(0.6, self.open.deliver, broken)
+            return []
+
+        dispatcher = self.build(fail_twice, fail_twice, fail_twice)
+        result = await dispatcher.run(request())
+        self.assertIsInstance(result, outcome.Unknown)
+        self.assertEqual(2, len(starts))
+
     async def test_a_queue_elsewhere_is_no_hedge(self):
         scripts = [lambda start: [], lambda start: [head(start)]]
         dispatcher = self.build(*scripts)
