--- a/jayflow/cli.py
+++ b/jayflow/cli.py
@@ -21,6 +21,7 @@
 from jayflow.emulator import platform as platform_emulator
 from jayflow import logs
 from jayflow.process import boundary as boundaries
+from jayflow.process import explaining
 from jayflow.process import loop
 from jayflow.process import node
 from jayflow.process import operators
@@ -62,6 +63,18 @@
     return boundaries.OWN
 
 
+def _run_explain(args: argparse.Namespace) -> Exit:
+    lines = []
+    for path in args.files:
+        with path.open(encoding='utf-8', errors='replace') as rows:
+            lines += explaining.read(path.name, rows)
+    found = explaining.select(lines, args.id)
+    for line in found:
+        print(explaining.render(line))
+    print(explaining.sentence(found, args.id))
+    return Exit.DONE if found else Exit.FAILED
+
+
 def _run_check(args: argparse.Namespace) -> Exit:
     whole = operators.load_files(args.files)
     counts = report.object_counts(whole)
@@ -171,6 +184,7 @@
     )
     commands = root.add_subparsers(dest='command', required=True)
     _add_node(commands)
+    _add_explain(commands)
     _add_objects(commands)
     _add_status(commands)
     _add_platform(commands)
@@ -178,6 +192,15 @@
     return root
 
 
+def _add_explain(commands) -> None:
+    cmd = commands.add_parser(
+        'explain', help='gather the log lines of one request'
+    )
+    cmd.add_argument('id', help='the id of the request')
+    cmd.add_argument('files', nargs='+', type=pathlib.Path, metavar='FILE')
+    cmd.set_defaults(run=_run_explain)
+
+
 def _add_node(commands) -> None:
     cmd = commands.add_parser('node', help='run a node')
     cmd.add_argument(
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -26,9 +26,9 @@
 from jayflow.process import boundary as boundaries
 from jayflow.process import crossing
 from jayflow.process import directory as directories
-from jayflow.process import polling
 from jayflow.process import duty
 from jayflow.process import following
+from jayflow.process import polling
 from jayflow.process import pushing
 from jayflow.process import readiness
 from jayflow.process import registrar as registrars
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -12,6 +12,24 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 LAYERS = ('version', 'connection', 'request', 'process')
+PLATFORM_WORDS = (
+    'jayflow-server-signature',
+    'jayflow-not-executed',
+    'jayflow-server-load',
+    'jayflow-expected-instance',
+    'jayflow-caller-service',
+    'jayflow-request-id',
+    'instances.heartbeat',
+    'instances.deregister',
+    'traffic_split',
+    'path_prefix',
+    'cold_remaining_s',
+    'max_attempts',
+    'store_revision',
+    'allow_stale',
+    'non_idempotent',
+    'fleetbench',
+)
 PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
 
 
@@ -38,6 +56,31 @@
                 with self.subTest(path=path.name):
                     self.assertLessEqual(_imported(path), allowed)
 
+    def test_only_the_adapter_knows_the_platforms_words(self):
+        own = {'platform', 'emulator'}
+        for path in (ROOT / 'jayflow').rglob('*.py'):
+            if own & set(path.relative_to(ROOT / 'jayflow').parts[:-1]):
+                continue
+            text = path.read_text(encoding='utf-8').lower()
+            found = [word for word in PLATFORM_WORDS if word in text]
+            with self.subTest(path=path.name):
+                self.assertEqual([], found)
+
+    def test_the_adapter_decides_nothing(self):
+        # What waits, retries or draws lots would be a decision.
+        for path in (ROOT / 'jayflow' / 'platform').glob('*.py'):
+            tree = ast.parse(path.read_text(encoding='utf-8'))
+            names = {
+                name.name.split('.')[0]
+                for node in ast.walk(tree)
+                if isinstance(node, ast.Import)
+                for name in node.names
+            }
+            with self.subTest(path=path.name):
+                self.assertFalse(
+                    names & {'time', 'random', 'asyncio', 'anyio'}
+                )
+
     def test_the_operators_page_names_every_counter(self):
         names = [f'refused.{reason.value}' for reason in outcome.Reason]
         names += [f'retried.{reason.value}' for reason in retry.RetryReason]
