Bound the whole admission queue and accept every number of the platform

Cause: AdmissionQueue.enqueue compared the limit with the requests ahead of a new one only, so urgent requests let a queue of 12 hold 24. A full queue now refuses the request that would start last. The setting of the retry burst took whole numbers only, so the 35.9 of small deployments kept every node from starting; the numbers that the template fills in now take fractions, exponents and zero, and a retry share of 0 no longer means the default. A route with neither service nor split raised IndexError, an unknown route type counted as idempotent, and the metrics address was missing from the check for equal addresses.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -136,13 +136,12 @@
             reason,
             max_slot_share=share,
         )
-        refusal = self.admission.enqueue(
+        rejection = self.admission.enqueue(
             queued_request, MAX_QUEUE_LENGTH, self._clock.now
         )
-        if refusal is not None:
-            attempt.on_refused()
-        else:
-            self._clock.call_at(expires_at, self._refuse_expired)
+        if rejection is not None:
+            rejection.queued_request.item.on_refused()
+        self._clock.call_at(expires_at, self._refuse_expired)
 
     def _serve(self, attempt: Attempt) -> None:
         service_time_s = attempt.work_s * self.slowdown(self, self._clock.now)
--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -52,7 +52,7 @@
 
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: int
+    weight: float
 
 
 class _Route(msgspec.Struct):
@@ -103,7 +103,11 @@
         number = snapshot.VersionNumber(int(config.version.removeprefix('r')))
         routes = config.routes.records(_Route)
         services = config.services.records(_Service)
-        retry_share = cfg.retry_share or objects.DEFAULT_RETRY_SHARE
+        retry_share = (
+            objects.DEFAULT_RETRY_SHARE
+            if cfg.retry_share is None
+            else cfg.retry_share
+        )
         return snapshot.Version(
             number,
             objects.ObjectSet(
@@ -139,12 +143,21 @@
         objects.WeightedService(target.service, target.weight)
         for target in route.traffic_split
     )
+    if not route.service and not split:
+        raise ValueError(
+            f'route {route.name!r} has neither a service nor a traffic split'
+        )
+    if split and not any(part.weight > 0 for part in split):
+        raise ValueError(
+            f'traffic split of route {route.name!r} has no positive weight'
+        )
     return objects.Route(
         name=route.name,
         host=route.hostname.lower(),
         path=route.path_prefix,
         service=route.service or split[0].service,
-        idempotent=_NO if route.type == protocol.TYPE_NON_IDEMPOTENT else _YES,
+        # An unknown type is not known to be safe to repeat.
+        idempotent=_YES if route.type in protocol.IDEMPOTENT_TYPES else _NO,
         key=objects.IdempotencyKeyMode.IGNORED,
         split=split,
         policy=objects.PolicyName(route.name),
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -23,6 +23,6 @@
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
-TYPE_NON_IDEMPOTENT = 'non_idempotent'
 TYPE_DOWNLOAD = 'download'
-ROUTE_TYPES = ('idempotent', TYPE_NON_IDEMPOTENT, TYPE_DOWNLOAD)
+# Types of routes whose requests may run more than once.
+IDEMPOTENT_TYPES = frozenset({'idempotent', TYPE_DOWNLOAD})
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -42,7 +42,11 @@
         Field('http', value_parsers.address, required=True),
         Field('peer', value_parsers.address, required=True),
         Field('announce', value_parsers.address, required=True),
-        Field('stop-limit', value_parsers.seconds, DEFAULT_STOP_LIMIT_S),
+        Field(
+            'stop-limit',
+            value_parsers.non_negative_seconds,
+            DEFAULT_STOP_LIMIT_S,
+        ),
         Field('leave-time', value_parsers.seconds, DEFAULT_LEAVE_TIME_S),
         Field('ready', value_parsers.address),
         Field('service', value_parsers.object_name, ''),
@@ -52,8 +56,8 @@
             value_parsers.seconds,
             DEFAULT_ANNOUNCEMENT_TTL_S,
         ),
-        Field('fleet-retry-burst', value_parsers.non_negative_int),
-        Field('retry-share', value_parsers.fraction),
+        Field('fleet-retry-burst', value_parsers.non_negative_number),
+        Field('retry-share', value_parsers.non_negative_number),
         Field('crash-strikes', value_parsers.positive_int),
         Field('adaptive-slots', value_parsers.yes_or_no, False),
     ),
@@ -86,8 +90,15 @@
 }
 REGIONS_SECTION = 'regions'
 REQUIRED_SECTIONS = ('node', 'platform')
-# Addresses that the node listens on; no two may be equal.
-_LISTEN_ADDRESS_KEYS = ('http', 'peer', 'announce', 'ready')
+# Sections and keys of the addresses that the node listens on; no two may be
+# equal.
+_LISTEN_ADDRESSES = (
+    ('node', 'http'),
+    ('node', 'peer'),
+    ('node', 'announce'),
+    ('node', 'ready'),
+    ('metrics', 'address'),
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,7 +117,7 @@
     service: objects.ServiceName
     server: value_parsers.Address | None
     announcement_ttl: float
-    fleet_retry_burst: int | None
+    fleet_retry_burst: float | None
     retry_share: float | None
     crash_strikes: int | None
     adaptive_slots: bool
@@ -150,9 +161,11 @@
                 findings.add(section.location, 'unknown section')
         if 'node' in sections:
             is_own_protocol = values['platform']['protocol'] is Protocol.OWN
-            _check_addresses(
-                sections['node'], values['node'], findings, is_own_protocol
-            )
+            if is_own_protocol:
+                _check_announce_address(
+                    sections['node'], values['node'], findings
+                )
+            _check_listen_addresses(sections, values, findings)
         regions = _read_regions(sections.get(REGIONS_SECTION), findings)
         findings.raise_if_any('settings')
         return cls._from_values(values, regions)
@@ -223,25 +236,30 @@
     return inifile.Section(name, location, {}, {})
 
 
-def _check_addresses(
+def _check_announce_address(
     section: inifile.Section,
     values: dict,
     findings: config_findings.Findings,
-    is_own_protocol: bool,
 ) -> None:
     announce = values['announce']
-    is_exposed = announce is not None and not _is_loopback(announce.host)
-    if is_own_protocol and is_exposed:
+    if announce is not None and not _is_loopback(announce.host):
         location = section.location_of('announce')
         findings.add(location, 'announce: must be a loopback address')
+
+
+def _check_listen_addresses(
+    sections: dict[str, inifile.Section],
+    values: dict[str, dict],
+    findings: config_findings.Findings,
+) -> None:
     key_of: dict[value_parsers.Address, str] = {}
-    for key in _LISTEN_ADDRESS_KEYS:
-        address = values[key]
+    for title, key in _LISTEN_ADDRESSES:
+        address = values[title][key]
         if address is None:
             continue
         if address in key_of:
             text = f'{key}: the same address as {key_of[address]}'
-            findings.add(section.location_of(key), text)
+            findings.add(sections[title].location_of(key), text)
         key_of[address] = key
 
 
--- a/jayflow/request/admission.py
+++ b/jayflow/request/admission.py
@@ -4,7 +4,8 @@
 end in time is not started, and none is refused while it still can. Waiting
 requests that can keep their latency target start first, ordered by rank and
 then by target; those that will be late anyway get the starts that are left.
-No service and no request class can take every slot.
+A full queue refuses the request that would start last. No service and no
+request class can take every slot.
 """
 
 import collections
@@ -72,6 +73,13 @@
         return SortKey(not self.is_exclusive, is_late, self.rank, deadline)
 
 
+class Rejection(NamedTuple, Generic[Item]):
+    """Name a request that is refused without having started, and why."""
+
+    queued_request: QueuedRequest[Item]
+    reason: Reason
+
+
 class AdmissionQueue(Generic[Item]):
     """Count the slots in use and queue the requests that wait for one."""
 
@@ -124,20 +132,28 @@
 
     def enqueue(
         self, queued_request: QueuedRequest[Item], max_length: int, now: float
-    ) -> Reason | None:
-        """Add a request to the queue, or return why it is refused."""
+    ) -> Rejection[Item] | None:
+        """Add a request to the queue; return the one that is refused for it.
+
+        It is the new request if that can't start in time, or in a full
+        queue the request that would start last.
+        """
         key = queued_request.sort_key(now)
         ahead = sum(queued.sort_key(now) <= key for queued in self._queue)
         if not self.slots or ahead >= max_length:
-            return Reason.QUEUE_FULL
+            return Rejection(queued_request, Reason.QUEUE_FULL)
         wait_s = self._wait_s(ahead, key.is_late)
         if (
             now + wait_s > queued_request.expires_at
             and not queued_request.is_exclusive
         ):
-            return queued_request.reason
+            return Rejection(queued_request, queued_request.reason)
+        displaced = None
+        if len(self._queue) >= max_length:
+            displaced = self._ordered(now)[-1]
+            self._queue.remove(displaced)
         self._queue.append(queued_request)
-        return None
+        return displaced and Rejection(displaced, Reason.QUEUE_FULL)
 
     def _wait_s(self, ahead: int, is_late: bool) -> float:
         """Estimate the wait of a request with others ahead of it.
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -293,12 +293,14 @@
             start.slot_share,
             target_start,
         )
-        reason = self._admission_queue.enqueue(
+        rejection = self._admission_queue.enqueue(
             queued_request, start.max_queue_length, now
         )
-        if reason is not None:
-            del self._jobs[start.attempt]
-            self._refuse(start, reason, job.reply)
+        if rejection is not None:
+            rejected_job = self._jobs.pop(rejection.queued_request.item)
+            self._refuse(
+                rejected_job.start, rejection.reason, rejected_job.reply
+            )
 
     def _handle_revoke(self, attempt, incarnation, reply: Reply) -> None:
         now = self._clock()
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -205,7 +205,7 @@
     """Name one service of a route's split and its weight."""
 
     service: ServiceName
-    weight: int
+    weight: float
 
 
 def _parse_split(text: str) -> tuple[WeightedService, ...]:
--- a/jayflow/version/value_parsers.py
+++ b/jayflow/version/value_parsers.py
@@ -10,7 +10,8 @@
 import re
 from typing import NamedTuple, TypeVar
 
-_QUANTITY = re.compile(r'^([0-9]+(?:\.[0-9]+)?)\s*([A-Za-z/]+)$')
+_NUMBER = r'[0-9]+(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?'
+_QUANTITY = re.compile(rf'^({_NUMBER})\s*([A-Za-z/]+)$')
 _SECONDS_BY_UNIT = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
 _BYTES_BY_UNIT = {
     'B': 1,
@@ -48,24 +49,36 @@
     if match is None or match[2] not in units:
         raise ValueError(f'expected a number with one of {", ".join(units)}')
     value = float(match[1]) * units[match[2]]
-    if value <= 0 or math.isinf(value):
+    if math.isinf(value):
+        raise ValueError('must be finite')
+    return value
+
+
+def _parse_positive_quantity(text: str, units: dict[str, float]) -> float:
+    value = _parse_quantity(text, units)
+    if value <= 0:
         raise ValueError('must be greater than 0')
     return value
 
 
 def seconds(text: str) -> float:
-    """Return a duration in seconds."""
+    """Return a duration in seconds that is greater than 0."""
+    return _parse_positive_quantity(text, _SECONDS_BY_UNIT)
+
+
+def non_negative_seconds(text: str) -> float:
+    """Return a duration in seconds of 0 or more."""
     return _parse_quantity(text, _SECONDS_BY_UNIT)
 
 
 def byte_size(text: str) -> int:
     """Return a size in bytes."""
-    return round(_parse_quantity(text, _BYTES_BY_UNIT))
+    return round(_parse_positive_quantity(text, _BYTES_BY_UNIT))
 
 
 def byte_rate(text: str) -> float:
     """Return a rate in bytes per second."""
-    return _parse_quantity(text, _BYTES_PER_S_BY_UNIT)
+    return _parse_positive_quantity(text, _BYTES_PER_S_BY_UNIT)
 
 
 def fraction(text: str) -> float:
@@ -79,6 +92,13 @@
     return value
 
 
+def non_negative_number(text: str) -> float:
+    """Return a finite number of 0 or more, with or without a fraction."""
+    if re.fullmatch(_NUMBER, text) is None or math.isinf(float(text)):
+        raise ValueError('expected a number of 0 or more')
+    return float(text)
+
+
 def positive_int(text: str) -> int:
     """Return a whole number of 1 or more."""
     if not text.isascii() or not text.isdigit() or int(text) < 1:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -79,6 +79,18 @@
         'split that is not a list',
         _changed(lambda c: c['routes']['rows'][1].__setitem__(9, 3)),
     ),
+    (
+        'neither a service nor a split',
+        _changed(lambda c: c['routes']['rows'][0].__setitem__(7, None)),
+    ),
+    (
+        'split without a positive weight',
+        _changed(
+            lambda c: c['routes']['rows'][1].__setitem__(
+                9, [{'service': 'a', 'weight': 0}]
+            )
+        ),
+    ),
     (
         'timeout that is not a number',
         _changed(lambda c: c['routes']['rows'][0].__setitem__(4, 'x')),
@@ -118,6 +130,34 @@
         self.assertEqual(15, decoded.limits.idle_timeout)
         self.assertEqual('/health', decoded.service['a'].health_path)
 
+    def test_only_known_types_are_idempotent(self):
+        # A misspelt type once allowed a purchase to run twice.
+        for route_type, expected in (
+            ('idempotent', objects.Idempotency.YES),
+            ('download', objects.Idempotency.YES),
+            ('non_idempotent', objects.Idempotency.NO),
+            ('non-idempotent', objects.Idempotency.NO),
+            ('Idempotent', objects.Idempotency.NO),
+            ('', objects.Idempotency.NO),
+        ):
+            with self.subTest(type=route_type):
+                config = copy.deepcopy(CONFIG)
+                config['routes']['rows'][0][3] = route_type
+                version = self.decode(json.dumps(config).encode())
+                route = version.objects.route_for('a.x', '/p/1')
+                self.assertIs(expected, route.idempotent)
+
+    def test_a_retry_share_of_zero_allows_no_retries(self):
+        cfg = settings.Settings.from_text(
+            'node.ini', SETTINGS.replace('retry-share = 0.2', 'retry-share = 0')
+        )
+        decode = configuration.create_version_decoder(cfg)
+        version = decode(json.dumps(CONFIG).encode())
+        self.assertEqual(
+            {0.0},
+            {policy.retry_share for policy in version.objects.policy.values()},
+        )
+
     def test_malformed_configuration_is_rejected(self):
         for title, data in MALFORMED:
             with self.subTest(title), self.assertRaises(ValueError):
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -29,6 +29,12 @@
     ('missing section', '[platform]\naddress = 127.0.0.1:4\n', '', 'missing'),
     ('port', ':4', ':70000', 'expected HOST:PORT'),
     ('same address', ':2', ':1', 'the same address as http'),
+    (
+        'metrics on the address of the callers',
+        '[platform]',
+        '[metrics]\naddress = 127.0.0.1:1\n[platform]',
+        'the same address as http',
+    ),
     ('not loopback', '127.0.0.1:3', '10.0.0.1:3', 'loopback'),
     ('level', '[node]', '[logs]\nlevel = loud\n[node]', 'expected one of'),
     ('missing key', 'name = n1\n', '', "missing key 'name'"),
--- a/tests/request/test_machines.py
+++ b/tests/request/test_machines.py
@@ -13,6 +13,7 @@
 from jayflow.request import outcome
 from jayflow.request import quarantine
 
+MAX_QUEUE_LENGTH = 4
 RECEIVER = messages.Incarnation(1)
 FIXED = settings(
     derandomize=True,
@@ -198,7 +199,14 @@
             exclusive,
             share,
         )
-        self.admission.enqueue(queued_request, 4, self.now)
+        rejection = self.admission.enqueue(
+            queued_request, MAX_QUEUE_LENGTH, self.now
+        )
+        if rejection is not None:
+            rejected = rejection.queued_request
+            key = rejected.sort_key(self.now)
+            assert key >= queued_request.sort_key(self.now)
+            assert not self.admission.remove(rejected.item)
 
     @stateful.precondition(lambda self: self.running)
     @stateful.rule(data=st.data())
@@ -222,7 +230,7 @@
             assert sum(name == service for name, _, _ in self.running) <= 4
         if any(exclusive for _, _, exclusive in self.running):
             assert len(self.running) == 1
-        assert self.admission.queued <= 3 * 4
+        assert self.admission.queued <= MAX_QUEUE_LENGTH
 
 
 class AttemptRegistryTest(AttemptRegistryMachine.TestCase):
--- a/tests/request/test_overload.py
+++ b/tests/request/test_overload.py
@@ -59,8 +59,10 @@
             outcome.Reason.QUEUE_TIME,
             target_start=admission.latest_start(arrived, TARGET_S, WORK_S),
         )
-        if self.admission.enqueue(queued_request, 1000, now) is not None:
-            self.refusal_times_s.append(now - arrived)
+        rejection = self.admission.enqueue(queued_request, 1000, now)
+        if rejection is not None:
+            refused_arrival = rejection.queued_request.item[0]
+            self.refusal_times_s.append(now - refused_arrival)
 
     def _start(self, now, req) -> None:
         self._schedule(now + req[2], self._finish, req)
