Acknowledge crash reports before the sender learns of the crash

Reports are now repeated until each node that is heard from has acknowledged them, for 1 s at most, and counted once. All requests that broke in one crash wait for the same report.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -312,12 +312,20 @@
 
     Fingerprints are digests of service, route and body; `remaining_ms` is
     how long the report stays valid. A report with an empty `crash` clears
-    its fingerprints of suspicion.
+    its fingerprints of suspicion. The receiver acknowledges a report that
+    has an attempt id.
     """
 
     crash: str
     fingerprints: list[bytes]
     remaining_ms: int
+    attempt: AttemptId | None = None
+
+
+class CrashAck(msgspec.Struct, array_like=True, tag='A'):
+    """Confirm that a crash report was handled."""
+
+    attempt: AttemptId
 
 
 PeerRequest = (
@@ -346,6 +354,7 @@
     | VersionAnswer
     | KeyedResultAnswer
     | ClaimAnswer
+    | CrashAck
     | Credit
 )
 
--- a/jayflow/process/crash_broadcast.py
+++ b/jayflow/process/crash_broadcast.py
@@ -4,16 +4,23 @@
 the request that caused the crash may be sent to them next.
 """
 
+from collections.abc import Callable
 import contextlib
+import time
 
 import anyio
+import msgspec
 
-from jayflow.connection import member as members
 from jayflow.connection import messages
-from jayflow.connection import peer_connections as peers
 from jayflow.connection import sockets
 from jayflow.process import member_directory
 from jayflow.request import backend_server
+from jayflow.request import exchange as exchanges
+from jayflow.request import routing
+
+ChannelTo = Callable[[routing.PeerView, messages.Lane], exchanges.PeerChannel]
+# A report is sent again after this time without an acknowledgement.
+RESEND_INTERVAL_S = 0.1
 
 
 class CrashBroadcaster:
@@ -24,31 +31,61 @@
         node: messages.NodeId,
         backend: backend_server.BackendServer,
         directory: member_directory.MemberDirectory,
-        peer_connections: peers.PeerConnections,
+        exchange_table: exchanges.ExchangeTable,
+        channel_to: ChannelTo,
     ) -> None:
         self._node = node
         self._backend = backend
         self._directory = directory
-        self._peer_connections = peer_connections
+        self._exchange_table = exchange_table
+        self._channel_to = channel_to
 
     async def broadcast(self, report: messages.CrashReport) -> None:
-        """Send a report to the other nodes that serve the same services."""
-        members_by_node = {
-            view.member.node: view.member
+        """Send a report to the other nodes that serve the same services.
+
+        Returns once each of them has acknowledged the report of a crash. One
+        that clears suspects is only sent: until it arrives, they run alone.
+        Nodes that have been silent are left out; no requests are sent to
+        them either.
+        """
+        now = time.monotonic()
+        views_by_node = {
+            view.member.node: view
             for service in self._backend.services
             for view in self._directory.peer_views_of(service)
-            if view.member.node != self._node
+            if view.member.node != self._node and not view.is_silent(now)
         }
+        send = self._send_until_acknowledged if report.crash else self._send
         async with anyio.create_task_group() as tasks:
-            for member in members_by_node.values():
-                tasks.start_soon(self._send, member, report)
+            for view in views_by_node.values():
+                tasks.start_soon(send, view, report)
 
     async def _send(
-        self, member: members.Member, report: messages.CrashReport
+        self, view: routing.PeerView, report: messages.CrashReport
     ) -> None:
-        connection = self._peer_connections.connection_to(
-            member, messages.Lane.SHORT
-        )
-        await connection.wait_connected()
+        channel = self._channel_to(view, messages.Lane.SHORT)
+        await channel.wait_connected()
         with contextlib.suppress(sockets.NotSentError):
-            connection.send(report)
+            channel.send(report)
+
+    async def _send_until_acknowledged(
+        self, view: routing.PeerView, report: messages.CrashReport
+    ) -> None:
+        channel = self._channel_to(view, messages.Lane.SHORT)
+        exchange = self._exchange_table.open(channel)
+        numbered_report = msgspec.structs.replace(
+            report, attempt=exchange.attempt
+        )
+        try:
+            while True:
+                await channel.wait_connected()
+                try:
+                    channel.send(numbered_report)
+                except sockets.NotSentError:
+                    await anyio.sleep(RESEND_INTERVAL_S)
+                    continue
+                message = await exchange.next_message(RESEND_INTERVAL_S)
+                if isinstance(message, messages.CrashAck):
+                    return
+        finally:
+            exchange.close()
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -221,7 +221,8 @@
                 cfg.name,
                 self._executor.backend,
                 self._directory,
-                self._peer_connections,
+                self._exchange_table,
+                self._channel_to,
             ).broadcast
         )
         self._executor.crash_tracker.quarantine_duration_s = (
--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -1,10 +1,11 @@
 """Detect crashes of the backend server and notify the other nodes.
 
-A sender learns of a crash only after the other nodes are notified, or
-after a bounded wait, so that its retry doesn't reach a node before the
-report of the crash does.
+A sender learns of a crash only after the other nodes have acknowledged the
+report of it, or after a bounded wait, so that its retry doesn't reach a node
+before the report does.
 """
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -21,7 +22,12 @@
 
 PROBE_COUNT = 3
 PROBE_INTERVAL_S = 0.02
-BROADCAST_TIMEOUT_S = 0.25
+# Longer than a busy node takes to acknowledge a report; shorter than the time
+# after which a silent node gets no requests.
+BROADCAST_TIMEOUT_S = 1.0
+# Reports are repeated until they are acknowledged, so as many crashes are
+# remembered to count each only once.
+MAX_REMEMBERED_CRASHES = 256
 # Requests that break within this time belong to the same crash.
 CRASH_WINDOW_S = 0.5
 
@@ -48,7 +54,10 @@
         self._log = logs.get_logger(logs.Component.EXECUTOR)
         self._running_at_crash: frozenset[quarantine.Fingerprint] = frozenset()
         self._window_end = 0.0
-        self._is_reported = False
+        self._reported: anyio.Event | None = None
+        self._handled: collections.deque[str] = collections.deque(
+            maxlen=MAX_REMEMBERED_CRASHES
+        )
 
     def fingerprints_at_crash(
         self, running: Iterable[quarantine.Fingerprint]
@@ -57,7 +66,7 @@
         now = self._clock()
         if now >= self._window_end:
             self._window_end = now + CRASH_WINDOW_S
-            self._is_reported = False
+            self._reported = None
             self._running_at_crash = frozenset(running)
         return self._running_at_crash
 
@@ -73,10 +82,10 @@
         are counted. Otherwise the report has a quarantine time of 0, and its
         receivers only mark suspects.
         """
-        if self._is_reported:
-            await anyio.sleep(BROADCAST_TIMEOUT_S)
+        if self._reported is not None:
+            await self._reported.wait()
             return
-        self._is_reported = True
+        self._reported = reported = anyio.Event()
         may_quarantine = is_exclusive or self.max_crashes is not None
         remaining_s = (
             self.quarantine_duration_s(service) if may_quarantine else 0
@@ -87,13 +96,16 @@
             beside=len(running_at_crash),
             alone=is_exclusive,
         )
-        await self._broadcast(
-            messages.CrashReport(
-                secrets.token_hex(8),
-                list(running_at_crash),
-                int(remaining_s * 1000),
+        try:
+            await self._broadcast(
+                messages.CrashReport(
+                    secrets.token_hex(8),
+                    list(running_at_crash),
+                    int(remaining_s * 1000),
+                )
             )
-        )
+        finally:
+            reported.set()
 
     async def report_cleared(
         self, fingerprint: quarantine.Fingerprint
@@ -104,6 +116,10 @@
     def handle_report(self, report: messages.CrashReport) -> None:
         """Handle a report of a crash, or of a cleared suspect."""
         now = self._clock()
+        if report.crash in self._handled:
+            return
+        if report.crash:
+            self._handled.append(report.crash)
         fingerprints = [
             quarantine.Fingerprint(digest) for digest in report.fingerprints
         ]
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -210,6 +210,8 @@
                     job.add_body(message)
             case messages.CrashReport():
                 self.crash_tracker.handle_report(message)
+                if message.attempt is not None:
+                    reply(messages.CrashAck(message.attempt))
 
     def _handle_start(self, start: messages.Start, reply: Reply) -> None:
         result = self._attempt_registry.admit(start.attempt, start.receiver)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -149,7 +149,8 @@
 
     def test_a_retry_share_of_zero_allows_no_retries(self):
         cfg = settings.Settings.from_text(
-            'node.ini', SETTINGS.replace('retry-share = 0.2', 'retry-share = 0')
+            'node.ini',
+            SETTINGS.replace('retry-share = 0.2', 'retry-share = 0'),
         )
         decode = configuration.create_version_decoder(cfg)
         version = decode(json.dumps(CONFIG).encode())
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -35,6 +35,37 @@
         b'400',
         'refused.bad_request',
     ),
+    (
+        'two hosts',
+        HEAD + b'host: other.example\r\n\r\n',
+        b'400',
+        'refused.bad_request',
+    ),
+    (
+        'two equal hosts',
+        HEAD + b'host: test.example\r\n\r\n',
+        b'400',
+        'refused.bad_request',
+    ),
+    (
+        'no host',
+        b'GET /lookup HTTP/1.1\r\n\r\n',
+        b'400',
+        'refused.bad_request',
+    ),
+    (
+        'two lengths',
+        HEAD + b'content-length: 0\r\ncontent-length: 1\r\n\r\nx',
+        b'400',
+        'refused.bad_request',
+    ),
+    (
+        'length and chunks',
+        HEAD + b'content-length: 5\r\ntransfer-encoding: chunked\r\n'
+        b'\r\n0\r\n\r\n',
+        b'400',
+        'refused.bad_request',
+    ),
     ('no route', b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', b'404', ''),
     (
         'body cut',
