--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -99,15 +99,11 @@
     nodes = cluster.start_nodes(size - len(cluster.nodes))
     announcer.nodes += nodes
     local_cluster.wait_until(
-        lambda: all(_member_count(node) >= size for node in nodes), 30
+        lambda: all(node.server_count() >= size for node in nodes), 30
     )
     time.sleep(SETTLE_S)
 
 
-def _member_count(node: local_cluster.Node) -> int:
-    return len(node.status()['members'])
-
-
 def _cpu_s(pid: int) -> float:
     with open(f'/proc/{pid}/stat', encoding='ascii') as stat_file:
         # Indexes 11 and 12 after the command name are utime and stime.
@@ -199,7 +195,7 @@
     count = len(cluster.nodes)
     announcer.nodes.append(node)
     announcer.announce(node)
-    return round(_wait_for_members(cluster, count), 3)
+    return round(_wait_for_servers(cluster, count), 3)
 
 
 def _time_leave(cluster, announcer) -> float:
@@ -208,13 +204,13 @@
     time.sleep(RENEWAL_WAIT_S)
     count = len(cluster.nodes)
     local_cluster.send_request(node.announce_port, '/announcement', 'DELETE')
-    return round(_wait_for_members(cluster, count), 3)
+    return round(_wait_for_servers(cluster, count), 3)
 
 
-def _wait_for_members(cluster, count: int) -> float:
+def _wait_for_servers(cluster, count: int) -> float:
     sample = cluster.nodes[:: max(1, len(cluster.nodes) // SAMPLE_NODES)]
     return local_cluster.wait_until(
-        lambda: all(_member_count(node) == count for node in sample), 20
+        lambda: all(node.server_count() == count for node in sample), 20
     )
 
 
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -12,6 +12,7 @@
 from bench import local_cluster
 from hdrh import histogram
 from jayflow.connection import backend_client
+from jayflow.request import header_dialect
 
 ROUNDS = 10
 SEQUENTIAL_CALLS = 300
@@ -36,6 +37,13 @@
     return round(latencies.get_value_at_percentile(percentile) / 1000, 3)
 
 
+def new_pool(port: int) -> backend_client.Pool:
+    """Return a pool of connections to a port of the cluster."""
+    return backend_client.Pool(
+        local_cluster.HOST, port, header_dialect.DEFAULT_DIALECT
+    )
+
+
 async def _timed_call(
     pool: backend_client.Pool, latencies: histogram.HdrHistogram
 ) -> None:
@@ -76,10 +84,7 @@
 
 async def _measure(ports: dict[str, int], seed: int) -> dict[str, float]:
     rng = random.Random(seed)
-    pools = {
-        path: backend_client.Pool(local_cluster.HOST, port)
-        for path, port in ports.items()
-    }
+    pools = {path: new_pool(port) for path, port in ports.items()}
     latencies = {
         (path, kind): histogram_us()
         for path in ports
@@ -137,7 +142,7 @@
         slots = ('--slots', str(SLOTS))
         backend = cluster.start_server(server_node, 'lookups', *slots)
         cluster.publish()
-        cluster.wait_for_members(1)
+        cluster.wait_for_servers(1)
         idle_mb = resident_mb(entry_node.process.pid)
         ports = {'direct': backend.port, 'through': entry_node.http_port}
         figures = asyncio.run(_measure(ports, seed))
--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -234,6 +234,12 @@
         """Return one of the node's counters."""
         return self.status()['counters'].get(name, 0)
 
+    def server_count(self) -> int:
+        """Return how many members with a server the node knows."""
+        return sum(
+            bool(member['services']) for member in self.status()['members']
+        )
+
     def has_started(self) -> bool:
         """Return whether the node answers.
 
@@ -407,6 +413,17 @@
             timeout_s,
         )
 
+    def wait_for_servers(self, count: int, timeout_s: float = 10.0) -> float:
+        """Wait until every node knows exactly count members with a server.
+
+        A node without a server is a member of the nodes that it subscribes
+        to as well.
+        """
+        return wait_until(
+            lambda: all(node.server_count() == count for node in self.nodes),
+            timeout_s,
+        )
+
     def command(self, name: str, *args: str) -> str:
         """Run an operator's command and return its output."""
         platform = ('--platform', f'{HOST}:{self.platform_port}')
--- a/bench/transfer.py
+++ b/bench/transfer.py
@@ -16,7 +16,6 @@
 
 from bench import hop
 from bench import local_cluster
-from jayflow.connection import backend_client
 
 PACK_BYTES = 150_000_000
 SLOW_READERS = 4
@@ -62,7 +61,7 @@
         entry_node, server_node = cluster.start_node(), cluster.start_node()
         cluster.start_server(server_node, 'lookups,packs')
         cluster.publish()
-        cluster.wait_for_members(1)
+        cluster.wait_for_servers(1)
         nodes = (entry_node, server_node)
         before = [hop.resident_mb(node.process.pid) for node in nodes]
         slow = _start_downloads(
@@ -128,6 +127,6 @@
 
 
 async def _measure_lookups(port: int, latencies, rng: random.Random) -> None:
-    pool = backend_client.Pool(local_cluster.HOST, port)
+    pool = hop.new_pool(port)
     await hop.call_at_rate(pool, latencies, rng, ROUND_DURATION_S)
     pool.close()
