Let regions use each other's servers where no link has a budget

Cause: a server in another region was chosen only if its node held a seat of the link between the regions. Only a configuration with links requires a seat now; the price of the bytes stays in the cost.

test_only_a_link_with_a_budget_requires_a_seat fails before.

--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -149,7 +149,11 @@
         previous = self._views.get(member.node)
         if previous and previous.member == member:
             return
-        view = routing.PeerView(member, self._distance(member))
+        view = routing.PeerView(
+            member,
+            self._distance(member),
+            requires_seat=bool(self._objects.link),
+        )
         if previous and previous.member.incarnation == member.incarnation:
             previous.member = member
             previous.distance = view.distance
@@ -200,6 +204,7 @@
         self._objects = config
         for view in self._views.values():
             view.distance = self._distance(view.member)
+            view.requires_seat = bool(config.link)
 
     def _drop_from_services(self, node: messages.NodeId) -> None:
         for views in (*self._by_service.values(), *self._subsets.values()):
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -82,7 +82,8 @@
 class PeerView:
     """Keep what this node knows of one peer, and since when.
 
-    Times are monotonic seconds. The latency is None until the first sample;
+    If requires_seat, traffic between regions has a budget, and a peer in
+    another region responds only while it holds a seat of it. Times are monotonic seconds. The latency is None until the first sample;
     waiting_since is the time of the last end of an attempt, or of the first
     start, while attempts are in flight.
     """
@@ -99,6 +100,7 @@
     cooldown_until: float = -math.inf
     last_heard_at: float = -math.inf
     platform_heard_at: float = -math.inf
+    requires_seat: bool = True
     slowdowns: slowdown_trackers.SlowdownTracker = dataclasses.field(
         default_factory=slowdown_trackers.SlowdownTracker
     )
@@ -287,7 +289,8 @@
 
 
 def _may_cross_regions(view: PeerView, cross_region: bool) -> bool:
-    return cross_region and view.member.has_seat
+    has_budget = view.member.has_seat or not view.requires_seat
+    return cross_region and has_budget
 
 
 def _available(candidates: list[PeerView], now: float) -> list[PeerView]:
--- a/tests/process/test_member_directory.py
+++ b/tests/process/test_member_directory.py
@@ -1,5 +1,6 @@
 """Check the member directory and the active configuration version."""
 
+import random
 import unittest
 
 from jayflow.connection import member as members
@@ -34,6 +35,14 @@
     )
 
 
+LINK_TEXT = """[link l]
+regions = r1, r2
+capacity = 30 Mbit/s
+traffic-budget = 1 MB/s
+measuring-budget = 1 kB/s
+"""
+
+
 class ActiveVersionTest(unittest.TestCase):
     def test_a_lower_version_is_never_applied(self):
         applied = []
@@ -79,6 +88,25 @@
         self.directory.remove('n2')
         self.assertEqual(1, serving_count())
 
+    def test_only_a_link_with_a_budget_requires_a_seat(self):
+        # Without links, no node holds a seat. Regions then refused requests
+        # while servers in the other region were free.
+        for title, text, expected in (
+            ('no link', TEXT, 'n'),
+            ('link', TEXT + LINK_TEXT, None),
+        ):
+            with self.subTest(title):
+                directory = member_directory.MemberDirectory('me', 'a')
+                directory.put(member('n', 'c'))
+                config = validation.load_objects([('f', text)])
+                directory.apply_objects(config)
+                directory.put(member('n', 'c', draining=True))
+                directory.put(member('n', 'c'))
+                view = routing.choose_peer(
+                    directory.candidates('s'), [], 0.0, random.Random(1), True
+                )
+                self.assertEqual(expected, view and view.member.node)
+
     def test_a_new_incarnation_starts_without_failures(self):
         self.directory.put(member('n', 'a'))
         first = self.directory.peer_view('n')
