Wake an idle node less often, and poll long work less often

Cause: a node at rest woke 150 times a second, half of it for uvicorn's ticks of four servers and the executor's expiry; a busy server was polled 25 times a second whatever its requests took (117,584 health checks for 34,188 requests on the large site). The servers now wait for their exit request, the executor for its first job, and polls keep a proportion to the time in service.

--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -5,6 +5,7 @@
 callback for lost connections.
 """
 
+import asyncio
 from collections.abc import Callable
 import contextlib
 import logging
@@ -50,7 +51,31 @@
 
 
 class _Server(uvicorn.Server):
-    """Leave signal handling to the program."""
+    """Leave signal handling to the program and wait for the exit request.
+
+    uvicorn's own loop wakes ten times a second to check for the request.
+    """
+
+    def __init__(self, cfg: uvicorn.Config) -> None:
+        self._exit_requested = asyncio.Event()
+        super().__init__(cfg)
+
+    @property
+    def should_exit(self) -> bool:
+        """Return whether the server was asked to stop."""
+        return self._exit_requested.is_set()
+
+    @should_exit.setter
+    def should_exit(self, is_requested: bool) -> None:
+        if is_requested:
+            self._exit_requested.set()
+        else:
+            self._exit_requested.clear()
+
+    async def main_loop(self) -> None:
+        """Serve until the server is asked to stop."""
+        await self.on_tick(0)
+        await self._exit_requested.wait()
 
     @contextlib.contextmanager
     def capture_signals(self):
--- a/jayflow/process/load_polling.py
+++ b/jayflow/process/load_polling.py
@@ -13,11 +13,28 @@
 from jayflow.request import executor as executors
 from jayflow.version import objects
 
-BUSY_POLL_INTERVAL_S = 0.04
-IDLE_POLL_INTERVAL_S = 0.2
+# A busy server is polled about this many times while it runs one request.
+POLLS_PER_REQUEST = 8
+MIN_POLL_INTERVAL_S = 0.04
+MAX_POLL_INTERVAL_S = 0.2
+# An idle server is polled less often, as little is sent to it.
+IDLE_INTERVAL_FACTOR = 5
 POLL_TIMEOUT_S = 0.5
 
 
+def poll_interval_s(mean_service_s: float, is_busy: bool) -> float:
+    """Return the pause between two polls of a server.
+
+    It grows with the time that a request takes, because a report has to be
+    recent only in proportion to it.
+    """
+    interval_s = min(
+        MAX_POLL_INTERVAL_S,
+        max(MIN_POLL_INTERVAL_S, mean_service_s / POLLS_PER_REQUEST),
+    )
+    return interval_s if is_busy else IDLE_INTERVAL_FACTOR * interval_s
+
+
 class LoadPoller:
     """Poll the health path of the node's backend server for its load."""
 
@@ -32,13 +49,14 @@
     async def run(self) -> None:
         """Poll until cancelled, except while the last report is recent."""
         while True:
-            is_busy = self._executor.in_flight > 0
-            await anyio.sleep(
-                BUSY_POLL_INTERVAL_S if is_busy else IDLE_POLL_INTERVAL_S
+            interval_s = poll_interval_s(
+                self._executor.load().latency_ms / 1000,
+                self._executor.in_flight > 0,
             )
+            await anyio.sleep(interval_s)
             age_s = time.monotonic() - self._executor.backend.load_reported_at
             path = self._health_path()
-            if path and age_s >= BUSY_POLL_INTERVAL_S:
+            if path and age_s >= interval_s:
                 await self._poll(path)
 
     def _health_path(self) -> str:
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -35,8 +35,8 @@
 
 ANNOUNCEMENT_TTL_S = 3.0
 ANNOUNCEMENT_INTERVAL_S = 1.0
-EXPIRY_INTERVAL_S = 0.01
-IDLE_EXPIRY_INTERVAL_S = 0.05
+EXPIRY_INTERVAL_S = 0.02
+IDLE_EXPIRY_INTERVAL_S = 0.25
 # Longest queue time of a suspect request that has to run alone.
 SUSPECT_QUEUE_TIME_S = 2.0
 # Service times vary: one request in five takes longer than this multiple of
@@ -96,6 +96,7 @@
             admission.AdmissionQueue(0)
         )
         self._jobs: dict[messages.AttemptId, jobs.Job] = {}
+        self._has_jobs = asyncio.Event()
         self._running: set[messages.AttemptId] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -185,9 +186,11 @@
         """Expire requests, attempts and announcements until cancelled."""
         try:
             while True:
-                await anyio.sleep(
-                    EXPIRY_INTERVAL_S if self._jobs else IDLE_EXPIRY_INTERVAL_S
-                )
+                if not self._jobs:
+                    self._has_jobs.clear()
+                    with anyio.move_on_after(IDLE_EXPIRY_INTERVAL_S):
+                        await self._has_jobs.wait()
+                await anyio.sleep(EXPIRY_INTERVAL_S)
                 self._expire(self._clock())
         finally:
             for task in self._tasks:
@@ -239,6 +242,7 @@
             job.is_suspect and self.crash_tracker.max_crashes is None
         )
         self._jobs[start.attempt] = job
+        self._has_jobs.set()
         if self._admission_queue.try_start(
             start.service, start.rank, job.is_exclusive, start.slot_share
         ):
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -82,10 +82,11 @@
 class PeerView:
     """Keep what this node knows of one peer, and since when.
 
-    If requires_seat, traffic between regions has a budget, and a peer in
-    another region responds only while it holds a seat of it. Times are monotonic seconds. The latency is None until the first sample;
+    Times are monotonic seconds. The latency is None until the first sample;
     waiting_since is the time of the last end of an attempt, or of the first
-    start, while attempts are in flight.
+    start, while attempts are in flight. If requires_seat, traffic between
+    regions has a budget, and a peer in another region responds only while it
+    holds a seat of it.
     """
 
     member: members.Member
