Keep the calls of a fleet few while the platform does not serve it

The pause of a node now grows with the number of nodes ahead of it in the order of the election, and ends early once any node reports that it reaches the platform. A node that has just started no longer watches the members before it has heard of the watchers.

--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -383,10 +383,11 @@
 
 async def retry_until_available(
     call: Callable[[], Awaitable[Result]],
-    rng: random.Random,
-    max_backoff_s: float = BACKOFF_MAX_S,
+    pause: Callable[[int], Awaitable[None]],
 ) -> Result:
-    """Retry a call with backoff until the platform serves it.
+    """Retry a call until the platform serves it.
+
+    `pause` waits after a number of consecutive failures.
 
     Only for reads and for writes that read the object back first, as an
     ambiguous write is repeated. A conflict is raised.
@@ -397,4 +398,4 @@
             return await call()
         except (AmbiguousError, UnavailableError):
             failures += 1
-            await anyio.sleep(backoff_s(failures, rng, max_backoff_s))
+            await pause(failures)
--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -32,7 +32,9 @@
         ),
         # Nodes also exchange member records directly, so the watch may lag.
         environment.WatchedPrefix(
-            members.KEY_PREFIX, batch_delay_s=MEMBER_BATCH_DELAY_S
+            members.KEY_PREFIX,
+            batch_delay_s=MEMBER_BATCH_DELAY_S,
+            watch_delay_s=platform_watchers.FIRST_RELIST_DELAY_S,
         ),
     ),
     elects_watchers=True,
--- a/jayflow/process/environment.py
+++ b/jayflow/process/environment.py
@@ -39,13 +39,15 @@
     One call waits for changes for at most watch_timeout_s. After a change
     the node waits for batch_delay_s, so that the next call returns several
     changes at once. A node that is not elected to watch lists the prefix
-    again after first_relist_delay_s for the first time.
+    again after first_relist_delay_s for the first time. No node watches
+    within watch_delay_s of its first list.
     """
 
     prefix: str
     watch_timeout_s: float = platform_watchers.WATCH_TIMEOUT_S
     batch_delay_s: float = 0.0
     first_relist_delay_s: float = platform_watchers.FIRST_RELIST_DELAY_S
+    watch_delay_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/jayflow/process/fleet_client.py
+++ b/jayflow/process/fleet_client.py
@@ -22,6 +22,7 @@
 from jayflow.connection import platform as api
 from jayflow.connection import sockets
 from jayflow import metrics as metrics_module
+from jayflow.process import platform_pauses
 from jayflow.process import status
 from jayflow.version import objects
 from jayflow.version import snapshot
@@ -166,7 +167,9 @@
             await anyio.sleep(STATUS_POLL_INTERVAL_S)
 
     async def _call(self, call: Callable):
-        return await api.retry_until_available(call, self._rng)
+        return await api.retry_until_available(
+            call, platform_pauses.jittered_pause(self._rng)
+        )
 
     async def _write_part(self, digest: snapshot.Digest, part: bytes) -> None:
         key = snapshot.part_key(digest)
--- a/jayflow/process/member_writer.py
+++ b/jayflow/process/member_writer.py
@@ -6,13 +6,13 @@
 """
 
 from collections.abc import Callable
-import random
 
 import anyio
 
 from jayflow.connection import member as members
 from jayflow.connection import platform as api
 from jayflow import logs
+from jayflow.process import platform_pauses
 
 
 class MemberWriter:
@@ -26,14 +26,12 @@
         platform: api.Platform,
         key: str,
         desired_member: Callable[[], members.Member | None],
-        rng: random.Random,
-        max_backoff_s: float = api.BACKOFF_MAX_S,
+        pause: platform_pauses.Pause,
     ) -> None:
         self._platform = platform
         self._key = key
         self._desired_member = desired_member
-        self._rng = rng
-        self._max_backoff_s = max_backoff_s
+        self._pause = pause
         self._changed = anyio.Event()
         self._waiters: list[anyio.Event] = []
         self._stored: api.Entry | None = None
@@ -85,9 +83,7 @@
                         'Member record could not be written; retrying.',
                         error=str(exc),
                     )
-                await anyio.sleep(
-                    api.backoff_s(failures, self._rng, self._max_backoff_s)
-                )
+                await self._pause(failures)
 
     async def _reconcile_once(self) -> bool:
         """Write or delete the record if it differs; return True.
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -34,6 +34,7 @@
 from jayflow.process import member_writer
 from jayflow.process import message_router
 from jayflow.process import monitoring
+from jayflow.process import platform_pauses
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.process import server_registration
 from jayflow.process import settings as process_settings
@@ -176,6 +177,9 @@
             self._rng,
         )
         self._platform = self._platform_at(cfg.calls_per_s)
+        self._platform_pause = platform_pauses.shared_pause(
+            cfg.name, self._directory.peer_views, self._rng, cfg.max_pause
+        )
         self._is_watcher = False
         self._platform_watchers = [
             self._new_platform_watcher(watch)
@@ -186,8 +190,7 @@
             self._platform,
             members.KEY_PREFIX + cfg.name,
             self._own_member,
-            self._rng,
-            cfg.max_pause,
+            self._platform_pause,
         )
         self._registration = server_registration.ServerRegistration(
             self._executor, self._member_writer, self._is_known_service
@@ -346,10 +349,11 @@
             create_version_decoder(self._cfg)
             if create_version_decoder is not None
             else None,
-            self._cfg.max_pause,
+            self._platform_pause,
             watch.watch_timeout_s,
             watch.batch_delay_s,
             watch.first_relist_delay_s,
+            watch.watch_delay_s,
         )
         platform_watcher.on_member_missing = self._on_member_missing
         platform_watcher.on_member_update = self._broadcast_member_update
@@ -409,8 +413,7 @@
         self._registration.is_restored = False
         entry = await api.retry_until_available(
             lambda: self._platform.get(members.KEY_PREFIX + self._cfg.name),
-            self._rng,
-            self._cfg.max_pause,
+            self._platform_pause,
         )
         if entry is not None:
             with contextlib.suppress(msgspec.DecodeError):
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -20,6 +20,7 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.process import member_directory
+from jayflow.process import platform_pauses
 from jayflow.version import snapshot
 
 WATCH_PREFIX = 'live/'
@@ -56,16 +57,18 @@
         rng: random.Random,
         prefix: str = WATCH_PREFIX,
         decode_version: DecodeVersion = None,
-        max_backoff_s: float = api.BACKOFF_MAX_S,
+        pause: platform_pauses.Pause | None = None,
         watch_timeout_s: float = WATCH_TIMEOUT_S,
         batch_delay_s: float = 0.0,
         first_relist_delay_s: float = FIRST_RELIST_DELAY_S,
+        watch_delay_s: float = 0.0,
     ) -> None:
         self._watch_timeout_s = watch_timeout_s
         self._batch_delay_s = batch_delay_s
         self._prefix = prefix
         self._decode_version = decode_version
-        self._max_backoff_s = max_backoff_s
+        self._pause = pause or platform_pauses.jittered_pause(rng)
+        self._watch_delay_s = watch_delay_s
         self.is_watcher: Callable[[float], bool] = lambda now: True
         self.on_member_missing: Callable[[messages.NodeId], None] = (
             lambda node: None
@@ -77,6 +80,7 @@
         self._call_scope: anyio.CancelScope | None = None
         self._own_key = members.KEY_PREFIX + directory.node
         self._listed_at = -math.inf
+        self._first_listed_at = math.inf
         self._platform = platform
         self._directory = directory
         self._active_version = active_version
@@ -124,9 +128,7 @@
                         prefix=self._prefix,
                         error=str(exc),
                     )
-                await anyio.sleep(
-                    api.backoff_s(failures, self._rng, self._max_backoff_s)
-                )
+                await self._pause(failures)
 
     def relist(self) -> None:
         """Cancel the call in progress, if any, and list again.
@@ -137,8 +139,15 @@
             self._call_scope.cancel()
 
     def _is_due(self, now: float) -> bool:
-        """Return whether to call: as a watcher, or when a list is due."""
-        if self.is_watcher(now) or self._listed_at < 0:
+        """Return whether to call: as a watcher, or when a list is due.
+
+        After its first list a node waits for watch_delay_s before it watches,
+        since it has not heard of the watchers yet.
+        """
+        if self._listed_at < 0:
+            return True
+        may_watch = now - self._first_listed_at >= self._watch_delay_s
+        if may_watch and self.is_watcher(now):
             return True
         if now - self._listed_at > self._relist_after_s:
             for_members_s = RELIST_S_PER_MEMBER * len(
@@ -157,6 +166,7 @@
             self._apply_listing(listing.entries)
             revision = listing.revision
             self._listed_at = time.monotonic()
+            self._first_listed_at = min(self._first_listed_at, self._listed_at)
         else:
             batch = await self._platform.watch(
                 self._prefix, revision, self._watch_timeout_s
--- a/tests/process/test_departure.py
+++ b/tests/process/test_departure.py
@@ -5,6 +5,8 @@
 requests to the server again.
 """
 
+import random
+
 import anyio
 
 from jayflow.connection import announcement
@@ -13,6 +15,7 @@
 from jayflow import metrics as metrics_module
 from jayflow.process import control_api
 from jayflow.process import member_writer
+from jayflow.process import platform_pauses
 from jayflow.process import server_registration
 from jayflow.request import executor as executors
 from tests.process import test_member_directory
@@ -44,13 +47,6 @@
             raise api.UnavailableError('down')
 
 
-class FakeRandom:
-    """Draw the highest number, so that pauses are the longest."""
-
-    def uniform(self, low, high):
-        return high
-
-
 def _announcement(sequence: int, draining: bool = True):
     return announcement.Announcement(
         'i1',
@@ -82,7 +78,10 @@
             )
 
         self.writer = member_writer.MemberWriter(
-            self.platform, 'live/members/n1', desired_member, FakeRandom(), 0.5
+            self.platform,
+            'live/members/n1',
+            desired_member,
+            platform_pauses.jittered_pause(random.Random(1), 0.5),
         )
         self.registration = server_registration.ServerRegistration(
             executor, self.writer
--- a/tests/process/test_platform_watcher.py
+++ b/tests/process/test_platform_watcher.py
@@ -9,6 +9,7 @@
 from jayflow.connection import platform as api
 from jayflow import metrics as metrics_module
 from jayflow.process import member_directory
+from jayflow.process import platform_pauses
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.version import objects
 from tests import virtual_time
@@ -98,7 +99,7 @@
             metrics,
             random.Random(1),
             members.KEY_PREFIX,
-            max_backoff_s=0.0,
+            pause=platform_pauses.jittered_pause(random.Random(1), 0.0),
             watch_timeout_s=watch_timeout_s,
             batch_delay_s=batch_delay_s,
         )
