Keep requests in their data centre while the load is even

A subset now has up to six members of the node's own data centre, and the nearest of the peers with equal costs are used.

test_long_work_stays_near_while_the_load_is_even and the subset tests fail before.

--- a/jayflow/process/subset.py
+++ b/jayflow/process/subset.py
@@ -18,6 +18,8 @@
 # Members of a service that one node sends to. Enough that some of their
 # servers are fast at any moment.
 SUBSET_SIZE = 12
+# Members of a node's own data centre in its subset, if others could be in it.
+MAX_DATA_CENTRE_MEMBERS = 6
 # A subset has at least this many members in other regions, which take the
 # load that those in the node's own region can't.
 MIN_OTHER_REGION_MEMBERS = 3
@@ -39,55 +41,47 @@
 ) -> list[routing.PeerView]:
     """Return the members of a service that a node sends to.
 
-    Members of the node's own region come first; those of other regions
-    fill the rest, and at least MIN_OTHER_REGION_MEMBERS of them are chosen
-    if there are so many.
+    Most are in the node's own data centre, as responses from others are
+    billed by volume. Those of the rest of the region and, at least
+    MIN_OTHER_REGION_MEMBERS if there are so many, of other regions take the
+    load that the data centre can't.
     """
-    same_region, other_region = _split_by_region(node, views)
-    other_region_count = max(
-        MIN_OTHER_REGION_MEMBERS, SUBSET_SIZE - len(same_region)
+    near, region, remote = _split_by_distance(node, views)
+    remote_count = min(
+        len(remote),
+        max(MIN_OTHER_REGION_MEMBERS, SUBSET_SIZE - len(near) - len(region)),
     )
-    same_region_count = max(
-        0, SUBSET_SIZE - min(other_region_count, len(other_region))
+    free = SUBSET_SIZE - remote_count
+    near_count = min(
+        len(near), max(MAX_DATA_CENTRE_MEMBERS, free - len(region))
+    )
+    return (
+        near[:near_count] + region[: free - near_count] + remote[:remote_count]
     )
-    return same_region[:same_region_count] + other_region[:other_region_count]
 
 
 def platform_sources(
     node: messages.NodeId, views: Iterable[routing.PeerView]
 ) -> list[routing.PeerView]:
     """Return the peers that inform a node of the platform's objects."""
-    views = list(views)
-    same_region = [
-        view
-        for view in views
-        if view.distance is not routing.Distance.OTHER_REGION
-    ]
-    same_region.sort(key=lambda view: rendezvous_hash(view.member.node))
-    _, other_region = _split_by_region(node, views)
-    return (
-        same_region[:SAME_REGION_SOURCES] + other_region[:OTHER_REGION_SOURCES]
+    near, region, remote = _split_by_distance(node, views)
+    same_region = sorted(
+        near + region, key=lambda view: rendezvous_hash(view.member.node)
     )
+    return same_region[:SAME_REGION_SOURCES] + remote[:OTHER_REGION_SOURCES]
 
 
-def _split_by_region(
+def _split_by_distance(
     node: messages.NodeId, views: Iterable[routing.PeerView]
-) -> tuple[list[routing.PeerView], list[routing.PeerView]]:
-    """Return the members in the node's region and those in other regions.
+) -> list[list[routing.PeerView]]:
+    """Return the members at each distance, the nearest first.
 
     Each list is in an order that differs from node to node.
     """
     ordered = sorted(
         views, key=lambda view: rendezvous_hash(node, view.member.node)
     )
-    same_region = [
-        view
-        for view in ordered
-        if view.distance is not routing.Distance.OTHER_REGION
-    ]
-    other_region = [
-        view
-        for view in ordered
-        if view.distance is routing.Distance.OTHER_REGION
+    return [
+        [view for view in ordered if view.distance is distance]
+        for distance in routing.Distance
     ]
-    return same_region, other_region
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -256,7 +256,8 @@
     Peers in cooldown are left out, but never more than MAX_COOLDOWN_SHARE
     of all.
     Peers in other regions are used where their cost is lower, if the policy
-    allows it and they may respond over the link between the regions.
+    allows it and they may respond over the link between the regions. Of
+    peers whose costs are equal, the nearest are used.
     """
     candidates = [
         view
@@ -280,13 +281,13 @@
     ]
     tolerance_s = EQUAL_COST_SHARE * (work.service_s or 0.0)
     max_cost = min(costs) + tolerance_s
-    return rng.choice(
-        [
-            view
-            for view, cost in zip(available, costs, strict=True)
-            if cost <= max_cost
-        ]
-    )
+    cheapest = [
+        view
+        for view, cost in zip(available, costs, strict=True)
+        if cost <= max_cost
+    ]
+    nearest = min(view.distance for view in cheapest)
+    return rng.choice([view for view in cheapest if view.distance is nearest])
 
 
 def _may_cross_regions(view: PeerView, cross_region: bool) -> bool:
--- a/tests/process/test_subset.py
+++ b/tests/process/test_subset.py
@@ -84,6 +84,34 @@
         self.assertEqual(68, len(counts))
         self.assertLess(max(counts.values()), 3 * subset.SUBSET_SIZE)
 
+    def test_a_subset_prefers_near_members_and_keeps_remote_ones(self):
+        directory = fleet(200)[0]
+        counts = collections.Counter(
+            view.distance for view in directory.candidates(SHOP)
+        )
+        self.assertEqual(
+            {
+                routing.Distance.SAME_DATA_CENTRE: (
+                    subset.MAX_DATA_CENTRE_MEMBERS
+                ),
+                routing.Distance.SAME_REGION: 3,
+                routing.Distance.OTHER_REGION: subset.MIN_OTHER_REGION_MEMBERS,
+            },
+            dict(counts),
+        )
+
+    def test_a_subset_is_filled_where_members_are_few(self):
+        distances = list(routing.Distance)
+        for counts in ((1, 1, 60), (60, 1, 1), (1, 60, 1), (20, 0, 0)):
+            with self.subTest(counts=counts):
+                views = [
+                    routing.PeerView(_member(100 * kind + number), distance)
+                    for kind, distance in enumerate(distances)
+                    for number in range(counts[kind])
+                ]
+                chosen = subset.service_subset(messages.NodeId('n'), views)
+                self.assertEqual(subset.SUBSET_SIZE, len(chosen))
+
     def test_the_nodes_of_a_region_agree_on_the_watchers(self):
         watchers = collections.Counter()
         for directory in fleet(68):
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -113,6 +113,26 @@
                 name = chosen.member.node if chosen else None
                 self.assertEqual(expected, name)
 
+    def test_long_work_stays_near_while_the_load_is_even(self):
+        # Network time is small beside long work, so all servers counted as
+        # equal and three of four responses crossed data centres.
+        work = routing.Work(0.8, 4000.0)
+        for title, near_running, expected in (
+            ('even', 3, 'near'),
+            ('nearly even', 4, 'near'),
+            ('near server busier', 7, 'far'),
+        ):
+            views = [
+                view('near', SAME_DATA_CENTRE, running=near_running),
+                view('far', SAME_REGION, running=3),
+            ]
+            for seed in range(20):
+                with self.subTest(title, seed=seed):
+                    chosen = routing.choose_peer(
+                        views, (), NOW, random.Random(seed), True, work
+                    )
+                    self.assertEqual(expected, chosen.member.node)
+
     def test_a_server_that_fails_fast_is_avoided(self):
         failing, busy = view('a'), view('b', running=9)
         failing.record_failure(NOW)
