Bound the bytes that are no part of an answer

Cause: a server in trouble can send a head, interim responses, trailers or an answer to an earlier request without end; the node kept or skipped all of it until the request's deadline, in memory for a head. After 256 KB without a byte of body the connection is closed and the response is invalid.

--- a/jayflow/connection/backend_client.py
+++ b/jayflow/connection/backend_client.py
@@ -17,6 +17,10 @@
 from jayflow.connection import messages
 
 READ_AHEAD_BYTES = 256 * 1024
+# Bytes that a server may send in a row without a byte of the response's body:
+# a head, trailers, interim responses or responses to earlier requests. More
+# are no answer, and keeping them would exhaust the memory.
+MAX_BYTES_WITHOUT_BODY = 256 * 1024
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_S = 4.0
 MAX_IDLE_NOT_IDEMPOTENT_S = 1.0
@@ -178,6 +182,7 @@
         self._is_interim = False
         self._is_skipping_response = False
         self._is_read_until_close = False
+        self._bytes_without_body = 0
 
     def _check_open(self) -> None:
         if self._fault is not None or self._transport.is_closing():
@@ -240,11 +245,16 @@
             self._fail(ConnectionFault.INVALID)
             self.close()
             return
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ConnectionFault.INVALID)
             self.close()
+            return
+        if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY:
+            self._fail(ConnectionFault.INVALID)
+            self.close()
 
     def on_message_begin(self) -> None:
         if self._is_complete:
@@ -288,6 +298,7 @@
     def on_body(self, data: bytes) -> None:
         if self._is_skipping_response or self._is_complete:
             return
+        self._bytes_without_body = 0
         self._buffer.append(data)
         self._buffered_bytes += len(data)
         if (
--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -167,6 +167,10 @@
         return True
 
 
+# A page of a list holds about as much as one value.
+MAX_RESPONSE_BYTES = 8 * MAX_VALUE_BYTES
+
+
 class Response(NamedTuple):
     """Represent the platform's response to one call."""
 
@@ -212,17 +216,19 @@
         all_headers = [*headers, (b'content-length', str(len(body)).encode())]
         try:
             with anyio.fail_after(self._deadline_s + extra_timeout_s):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     self._base + path,
                     headers=all_headers,
                     content=body,
-                )
+                ) as streamed:
+                    content = await _read_bounded(streamed)
         except (OSError, TimeoutError, *_TRANSPORT_ERRORS) as exc:
             self._metrics.count_event(metrics_module.Event.PLATFORM_FAILED)
             raise UnavailableError(repr(exc)) from exc
+        response = Response(streamed.status, streamed.headers, content)
         self._count_bytes(all_headers, path, body, response)
-        return Response(response.status, response.headers, response.content)
+        return response
 
     async def write(
         self, method, path, headers=(), body=b'', no_effect_statuses=()
@@ -258,7 +264,7 @@
             + len(body)
         )
         received = HEAD_OVERHEAD_BYTES + _headers_size(response.headers)
-        received += len(response.content)
+        received += len(response.body)
         self._metrics.count_event(
             metrics_module.Event.CONTROL_SENT_BYTES, sent
         )
@@ -267,6 +273,18 @@
         )
 
 
+async def _read_bounded(response: httpcore.Response) -> bytes:
+    """Return a response's body; UnavailableError if it is too long."""
+    content = bytearray()
+    async for part in response.aiter_stream():
+        content += part
+        if len(content) > MAX_RESPONSE_BYTES:
+            raise UnavailableError(
+                f'response exceeds {MAX_RESPONSE_BYTES} bytes'
+            )
+    return bytes(content)
+
+
 class HttpPlatform:
     """Access a platform that speaks the product's own protocol."""
 
