--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -60,9 +60,9 @@
 Reason = outcome.Reason
 INCARNATION_BITS = 62
 IDLE_CONNECTION_CHECK_INTERVAL_S = 5.0
-# A forced stop begins this long before the stop limit, so that callers still
-# get a response before the process is killed.
-FORCED_STOP_MARGIN_S = 0.3
+# A forced stop begins when this share of the stop limit is left, so that a
+# node with little processor time ends before it is killed.
+FORCED_STOP_SHARE = 0.1
 
 
 class _LocalChannel:
@@ -451,11 +451,9 @@
                 tasks.start_soon(
                     self._stop_gracefully, caller_server, tasks.cancel_scope
                 )
+                stop_limit_s = self._live.current.stop_limit
                 with anyio.move_on_after(
-                    max(
-                        0.0,
-                        self._live.current.stop_limit - FORCED_STOP_MARGIN_S,
-                    )
+                    stop_limit_s * (1 - FORCED_STOP_SHARE)
                 ):
                     await anext(signals)
                 cut_requests = self._executor.in_flight + len(
