Send requests to other regions where links have no budget, and to live members

A configuration now says whether links are limited (the adapter: they are not). The load of the node's own server is read at each choice.

--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -132,6 +132,9 @@
                 },
                 route={route.name: _route(route) for route in routes},
                 limits=_limits(config.limits),
+                # The platform bills traffic between regions by volume and
+                # sets no budget.
+                limits_links=False,
             ),
         )
 
--- a/jayflow/process/link_budgets.py
+++ b/jayflow/process/link_budgets.py
@@ -96,10 +96,12 @@
     ) -> link_budget.LinkBudget | None:
         """Return the budget for sending to a data centre.
 
-        None means that no budget applies: the data centre is in the node's
-        own region, or its region is unknown. Without a link between the
-        regions the budget allows nothing.
+        None means that no budget applies: links have none, the data centre
+        is in the node's own region, or its region is unknown. Without a link
+        between the regions the budget allows nothing.
         """
+        if not self._objects.limits_links:
+            return None
         own_region = self._objects.region_of(self._data_centre)
         region = self._objects.region_of(data_centre)
         if region is None or region == own_region:
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -152,13 +152,15 @@
         view = routing.PeerView(
             member,
             self._distance(member),
-            requires_seat=bool(self._objects.link),
+            requires_seat=self._objects.limits_links,
         )
         if previous and previous.member.incarnation == member.incarnation:
             previous.member = member
             previous.distance = view.distance
             previous.load = None
             view = previous
+        if member.node == self.node:
+            view.last_heard_at = math.inf
         self._drop_from_services(member.node)
         if (
             previous is None
@@ -204,7 +206,7 @@
         self._objects = config
         for view in self._views.values():
             view.distance = self._distance(view.member)
-            view.requires_seat = bool(config.link)
+            view.requires_seat = config.limits_links
 
     def _drop_from_services(self, node: messages.NodeId) -> None:
         for views in (*self._by_service.values(), *self._subsets.values()):
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 import signal
+import time
 from typing import Self
 
 import anyio
@@ -140,7 +141,7 @@
         )
         dispatcher = dispatch.Dispatcher(
             self._exchange_table,
-            self._directory.candidates,
+            self._candidates,
             self._channel_to,
             self._metrics,
             self._rng,
@@ -508,6 +509,16 @@
             view.member, messages.Lane.SHORT
         )
 
+    def _candidates(
+        self, service: objects.ServiceName
+    ) -> list[routing.PeerView]:
+        """Return the peers for a service; the load of the own one is exact."""
+        views = self._directory.candidates(service)
+        for view in views:
+            if view.member.node == self._cfg.name:
+                view.record_load(self._executor.load(), time.monotonic())
+        return views
+
     def _channel_to(
         self, view: routing.PeerView, lane: messages.Lane
     ) -> exchanges.PeerChannel:
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -163,6 +163,14 @@
         """Return whether a peer that sent its state has stopped doing so."""
         return SILENCE_TIMEOUT_S < now - self.last_heard_at < math.inf
 
+    def is_heard(self, now: float) -> bool:
+        """Return whether a peer sends its state.
+
+        A member whose host is gone for good is still listed; a node that
+        has just started has never heard from it.
+        """
+        return now - self.last_heard_at <= SILENCE_TIMEOUT_S
+
     def has_free_slot(self) -> bool:
         """Return whether a slot should be free, by the last report."""
         if self.load is None:
@@ -298,10 +306,10 @@
 def _available(candidates: list[PeerView], now: float) -> list[PeerView]:
     """Return the peers that are not in cooldown, but at least half.
 
-    Peers that have stopped sending their state are used only when all have.
+    Peers that don't send their state are used only when none does.
     """
     candidates = [
-        view for view in candidates if not view.is_silent(now)
+        view for view in candidates if view.is_heard(now)
     ] or candidates
     available = [view for view in candidates if view.cooldown_until <= now]
     min_count = max(1, math.ceil(len(candidates) * (1 - MAX_COOLDOWN_SHARE)))
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -267,7 +267,11 @@
 
 
 class ObjectSet(msgspec.Struct, frozen=True):
-    """Hold all objects of one configuration version, by kind and name."""
+    """Hold all objects of one configuration version, by kind and name.
+
+    Unless limits_links is false, traffic between regions is allowed only
+    within the budget of a link.
+    """
 
     region: dict[RegionName, Region] = {}
     data_centre: dict[DataCentreName, DataCentre] = {}
@@ -276,6 +280,7 @@
     service: dict[ServiceName, Service] = {}
     route: dict[str, Route] = {}
     limits: Limits = Limits()
+    limits_links: bool = True
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path."""
--- a/tests/process/test_member_directory.py
+++ b/tests/process/test_member_directory.py
@@ -11,6 +11,7 @@
 from jayflow.version import objects
 from jayflow.version import snapshot
 from jayflow.version import validation
+import msgspec
 
 TEXT = """[region r1]
 [region r2]
@@ -35,14 +36,6 @@
     )
 
 
-LINK_TEXT = """[link l]
-regions = r1, r2
-capacity = 30 Mbit/s
-traffic-budget = 1 MB/s
-measuring-budget = 1 kB/s
-"""
-
-
 class ActiveVersionTest(unittest.TestCase):
     def test_a_lower_version_is_never_applied(self):
         applied = []
@@ -88,17 +81,20 @@
         self.directory.remove('n2')
         self.assertEqual(1, serving_count())
 
-    def test_only_a_link_with_a_budget_requires_a_seat(self):
-        # Without links, no node holds a seat. Regions then refused requests
-        # while servers in the other region were free.
-        for title, text, expected in (
-            ('no link', TEXT, 'n'),
-            ('link', TEXT + LINK_TEXT, None),
+    def test_a_seat_is_required_only_where_links_are_limited(self):
+        # Where links have no budget, no node holds a seat. Regions then
+        # refused requests while servers in the other region were free.
+        for title, limits_links, expected in (
+            ('no budgets', False, 'n'),
+            ('budgets', True, None),
         ):
             with self.subTest(title):
                 directory = member_directory.MemberDirectory('me', 'a')
                 directory.put(member('n', 'c'))
-                config = validation.load_objects([('f', text)])
+                config = msgspec.structs.replace(
+                    validation.load_objects([('f', TEXT)]),
+                    limits_links=limits_links,
+                )
                 directory.apply_objects(config)
                 directory.put(member('n', 'c', draining=True))
                 directory.put(member('n', 'c'))
@@ -107,6 +103,13 @@
                 )
                 self.assertEqual(expected, view and view.member.node)
 
+    def test_the_own_server_counts_as_heard_from(self):
+        self.directory.put(member('me', 'a'))
+        self.directory.put(member('n', 'a', slots=1))
+        self.directory.peer_view('n').last_heard_at = 100.0
+        self.assertTrue(self.directory.peer_view('me').is_heard(100.0))
+        self.assertFalse(self.directory.peer_view('me').is_silent(1e9))
+
     def test_a_new_incarnation_starts_without_failures(self):
         self.directory.put(member('n', 'a'))
         first = self.directory.peer_view('n')
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -98,6 +98,14 @@
         True,
         'b',
     ),
+    (
+        'never heard from, beside one that is heard',
+        [view('a'), view('b', running=9, last_heard_at=NOW)],
+        (),
+        True,
+        'b',
+    ),
+    ('never heard from', [view('a')], (), True, 'a'),
     ('no members', [], (), True, None),
 ]
 
