--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -172,6 +172,20 @@
             if member.accepts(service):
                 self._by_service.setdefault(service, []).append(view)
 
+    def put_from_node(self, member: members.Member) -> None:
+        """Add a member that described itself.
+
+        Other members at its address are gone: a new host got the address of
+        theirs, and requests sent to them would reach it.
+        """
+        for view in list(self._views.values()):
+            other = view.member
+            if other.node not in (member.node, self.node) and (
+                other.address == member.address
+            ):
+                self.remove(other.node)
+        self.put(member)
+
     def put_from_listing(self, member: members.Member, now: float) -> None:
         """Add a member from a listing, unless its own report is newer.
 
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -144,7 +144,7 @@
             self._metrics.count_refusal(Reason.GARBAGE_FRAME)
             return
         if member.node != self._node:
-            self._directory.put(member)
+            self._directory.put_from_node(member)
 
     def _apply_member_update(
         self, node: messages.NodeId, encoded: bytes
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -282,7 +282,7 @@
                     error=str(exc),
                 )
                 return
-            self._directory.put(member)
+            self._directory.put_from_node(member)
         view = self._directory.peer_view(state.node)
         if view is None or view.member.incarnation != state.incarnation:
             return
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -267,16 +267,18 @@
     allows it and they may respond over the link between the regions. Of
     peers whose costs are equal, the nearest are used.
     """
-    candidates = [
+    usable = [
         view
         for view in views
-        if view.member.node not in tried
-        and not _is_draining(view, now)
+        if not _is_draining(view, now)
         and (
             view.distance is not Distance.OTHER_REGION
             or _may_cross_regions(view, cross_region)
         )
     ]
+    # Peers that don't send their state are used only when none does.
+    usable = [view for view in usable if view.is_heard(now)] or usable
+    candidates = [view for view in usable if view.member.node not in tried]
     if not candidates:
         return None
     if len(candidates) > MAX_CANDIDATES:
@@ -304,13 +306,7 @@
 
 
 def _available(candidates: list[PeerView], now: float) -> list[PeerView]:
-    """Return the peers that are not in cooldown, but at least half.
-
-    Peers that don't send their state are used only when none does.
-    """
-    candidates = [
-        view for view in candidates if view.is_heard(now)
-    ] or candidates
+    """Return the peers that are not in cooldown, but at least half."""
     available = [view for view in candidates if view.cooldown_until <= now]
     min_count = max(1, math.ceil(len(candidates) * (1 - MAX_COOLDOWN_SHARE)))
     if len(available) >= min_count:
--- a/tests/process/test_member_directory.py
+++ b/tests/process/test_member_directory.py
@@ -103,6 +103,15 @@
                 )
                 self.assertEqual(expected, view and view.member.node)
 
+    def test_the_last_user_of_an_address_replaces_the_others(self):
+        # A new host gets the address of one that is gone, whose record is
+        # still listed; requests for the old member then reached the new one.
+        self.directory.put(member('me', 'a'))
+        self.directory.put(member('old', 'a'))
+        self.directory.put_from_node(member('new', 'a'))
+        nodes = {known.node for known in self.directory.known_members()}
+        self.assertEqual({'me', 'new'}, nodes)
+
     def test_the_own_server_counts_as_heard_from(self):
         self.directory.put(member('me', 'a'))
         self.directory.put(member('n', 'a', slots=1))
--- a/tests/request/test_choices.py
+++ b/tests/request/test_choices.py
@@ -128,6 +128,16 @@
     def test_a_server_that_does_not_slow_gets_all_slots(self):
         self.assertEqual(18, self.settle(99))
 
+    def test_slow_calls_of_all_requests_do_not_change_the_limit(self):
+        # A server that waits for other services once lost a third of its
+        # slots when those were overloaded, and the overload spread to it.
+        limit = concurrency_limit.ConcurrencyLimit()
+        rng = random.Random(1)
+        for running, ratio in [(4, 1.0)] * 100 + [(18, 3.0)] * 600:
+            running = min(running, limit.usable_slots(18))
+            limit.observe(running, ratio * rng.uniform(0.7, 1.3))
+        self.assertEqual(18, limit.usable_slots(18))
+
     def test_the_limit_keeps_a_minimum_share(self):
         self.assertGreaterEqual(self.settle(5), 12)
 
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -106,6 +106,13 @@
         'b',
     ),
     ('never heard from', [view('a')], (), True, 'a'),
+    (
+        'never heard from, all others tried',
+        [view('a'), view('b', last_heard_at=NOW)],
+        ('b',),
+        True,
+        None,
+    ),
     ('no members', [], (), True, None),
 ]
 
