Send fewer and smaller reports between data centres and regions

A renewed subscription sent both member records again every 2 s; reports went to other regions twice a second and on each change of slowness, and to other data centres as often as to the own one. A renewal on the same connection is now empty and unanswered; other regions get one report a second, and other data centres fewer while requests take long.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -130,7 +130,8 @@
     """Ask a node to send its state now and on every change.
 
     `member` is the subscriber's own membership record, so that each side
-    learns about the other.
+    learns about the other. It is empty in a renewal on the same connection,
+    which the receiver answers only if it does not know the subscriber.
     """
 
     attempt: AttemptId
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -151,7 +151,7 @@
             return
         view = routing.PeerView(
             member,
-            self._distance(member),
+            self.distance_to(member.data_centre),
             requires_seat=self._objects.limits_links,
         )
         if previous and previous.member.incarnation == member.incarnation:
@@ -219,7 +219,7 @@
         """Apply the regions and data centres of a configuration version."""
         self._objects = config
         for view in self._views.values():
-            view.distance = self._distance(view.member)
+            view.distance = self.distance_to(view.member.data_centre)
             view.requires_seat = config.limits_links
 
     def _drop_from_services(self, node: messages.NodeId) -> None:
@@ -227,24 +227,17 @@
             views[:] = [view for view in views if view.member.node != node]
         self._refreshed_at = -math.inf
 
-    def is_in_other_region(self, data_centre: objects.DataCentreName) -> bool:
-        """Return whether a data centre is known to be in another region.
+    def distance_to(
+        self, data_centre: objects.DataCentreName
+    ) -> routing.Distance:
+        """Return the distance to a data centre.
 
-        False if the region of either side is unknown.
+        One whose region is unknown counts as another region.
         """
-        own_region = self._objects.region_of(self.data_centre)
-        other_region = self._objects.region_of(data_centre)
-        return (
-            own_region is not None
-            and other_region is not None
-            and own_region != other_region
-        )
-
-    def _distance(self, member: members.Member) -> routing.Distance:
-        if member.data_centre == self.data_centre:
+        if data_centre == self.data_centre:
             return routing.Distance.SAME_DATA_CENTRE
         own_region = self._objects.region_of(self.data_centre)
-        other_region = self._objects.region_of(member.data_centre)
+        other_region = self._objects.region_of(data_centre)
         if own_region is not None and own_region == other_region:
             return routing.Distance.SAME_REGION
         return routing.Distance.OTHER_REGION
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -96,14 +96,15 @@
 
         match message:
             case messages.Subscribe():
-                self._add_subscriber_member(message.member)
-                data_centre = objects.DataCentreName(
-                    message.sender_data_centre
+                if message.member:
+                    self._add_subscriber_member(message.member)
+                self._handlers.publisher.subscribe(
+                    peer,
+                    self._directory.distance_to(
+                        objects.DataCentreName(message.sender_data_centre)
+                    ),
+                    is_renewal=not message.member,
                 )
-                is_in_other_region = self._directory.is_in_other_region(
-                    data_centre
-                )
-                self._handlers.publisher.subscribe(peer, is_in_other_region)
             case messages.VersionQuery(attempt):
                 encoded = self._handlers.active_version.encoded
                 reply(messages.VersionAnswer(attempt, encoded))
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -1,9 +1,10 @@
 """Exchange the state of nodes by subscriptions.
 
 A node subscribes to the peers that it may send requests to. Each node
-publishes its load to its subscribers, at short intervals while it changes, at
-longer ones over a link between regions. It publishes its member description
-when a peer subscribes and whenever the description changes.
+publishes its load to its subscribers while it changes: at short intervals in
+its data centre, at longer ones to other data centres and regions, whose
+traffic is billed. It publishes its member description when a peer subscribes
+and whenever the description changes.
 """
 
 from collections.abc import Callable
@@ -23,12 +24,19 @@
 from jayflow import logs
 from jayflow.process import member_directory
 from jayflow.request import executor as executors
+from jayflow.request import routing
 
 # A load report of a backend server is meaningful for about this long.
 PUBLISH_INTERVAL_S = 0.1
 # Servers in other regions are chosen seldom, and the link to them is billed by
 # volume.
-OTHER_REGION_PUBLISH_INTERVAL_S = 0.5
+OTHER_REGION_PUBLISH_INTERVAL_S = 1.0
+# Reports while a server runs one request: to its own data centre, where most
+# of its requests come from, and to the rest of the region.
+REPORTS_PER_REQUEST = {
+    routing.Distance.SAME_DATA_CENTRE: 8,
+    routing.Distance.SAME_REGION: 4,
+}
 # A state that has not changed is sent again after this time.
 UNCHANGED_PUBLISH_INTERVAL_S = 1.0
 # A node with so many subscribers that it would exceed this rate publishes to
@@ -44,11 +52,31 @@
 PEER_SILENT_S = 3 * UNCHANGED_PUBLISH_INTERVAL_S
 
 
+def publish_pause_s(
+    distance: routing.Distance, mean_service_s: float, subscribers: int
+) -> float:
+    """Return the pause between two reports of changed load.
+
+    It grows with the time that a request takes, in which the load changes
+    little, and with the number of subscribers. A pause as short as the
+    interval between two checks counts as none.
+    """
+    if distance is routing.Distance.OTHER_REGION:
+        return OTHER_REGION_PUBLISH_INTERVAL_S
+    pause_s = max(
+        mean_service_s / REPORTS_PER_REQUEST[distance],
+        subscribers / MAX_REPORTS_PER_S,
+    )
+    if pause_s <= PUBLISH_INTERVAL_S:
+        return 0.0
+    return min(pause_s, UNCHANGED_PUBLISH_INTERVAL_S)
+
+
 @dataclasses.dataclass
 class _Subscriber:
     """Hold when a subscriber last renewed, and its last report."""
 
-    is_in_other_region: bool
+    distance: routing.Distance
     renewed_at: float
     last_report: '_StateReport | None' = None
     sent_at: float = -math.inf
@@ -58,19 +86,18 @@
     ) -> bool:
         """Return whether to send a report now.
 
-        A change of load waits for the pause after the last report.
+        A change of load waits for the pause after the last report. To other
+        regions, so does a change of slowness.
         """
         age_s = now - self.sent_at
         if self.last_report is None or age_s >= UNCHANGED_PUBLISH_INTERVAL_S:
             return True
         if report.is_urgent_after(self.last_report):
             return True
-        is_early = age_s < (
-            OTHER_REGION_PUBLISH_INTERVAL_S
-            if self.is_in_other_region
-            else pause_s
-        )
-        return report != self.last_report and not is_early
+        is_remote = self.distance is routing.Distance.OTHER_REGION
+        if not is_remote and report.is_slowed_since(self.last_report):
+            return True
+        return report != self.last_report and age_s >= pause_s
 
 
 class _StateReport(NamedTuple):
@@ -83,11 +110,14 @@
     def is_urgent_after(self, previous: Self) -> bool:
         """Return whether the change is to be sent without a pause."""
         return (
-            self.load.slowness != previous.load.slowness
-            or self.load.draining != previous.load.draining
+            self.load.draining != previous.load.draining
             or self[1:] != previous[1:]
         )
 
+    def is_slowed_since(self, previous: Self) -> bool:
+        """Return whether the slowness of the server has changed."""
+        return self.load.slowness != previous.load.slowness
+
 
 class StatePublisher:
     """Keep a node's subscribers and publish its state to them."""
@@ -108,11 +138,19 @@
         self._subscribers: dict[sockets.RoutingId, _Subscriber] = {}
 
     def subscribe(
-        self, peer: sockets.RoutingId, is_in_other_region: bool = False
+        self,
+        peer: sockets.RoutingId,
+        distance: routing.Distance = routing.Distance.SAME_DATA_CENTRE,
+        is_renewal: bool = False,
     ) -> None:
-        """Add or renew a subscriber and send it a full report."""
+        """Add or renew a subscriber; send a new one a full report."""
         now = time.monotonic()
-        self._subscribers[peer] = _Subscriber(is_in_other_region, now)
+        subscriber = self._subscribers.get(peer)
+        if is_renewal and subscriber is not None:
+            subscriber.renewed_at = now
+            subscriber.distance = distance
+            return
+        self._subscribers[peer] = _Subscriber(distance, now)
         self._send_state(peer, self._current_report(), now)
 
     async def run(self) -> None:
@@ -128,10 +166,16 @@
         """
         now = time.monotonic()
         report = self._current_report()
-        pause_s = len(self._subscribers) / MAX_REPORTS_PER_S
-        if pause_s <= PUBLISH_INTERVAL_S:
-            pause_s = 0.0
+        pauses_s = {
+            distance: publish_pause_s(
+                distance,
+                report.load.latency_ms / 1000,
+                len(self._subscribers),
+            )
+            for distance in routing.Distance
+        }
         for peer, subscriber in list(self._subscribers.items()):
+            pause_s = pauses_s[subscriber.distance]
             if now - subscriber.renewed_at >= SUBSCRIPTION_TTL_S:
                 del self._subscribers[peer]
             elif subscriber.is_due(report, now, pause_s):
@@ -174,6 +218,14 @@
             del self._subscribers[peer]
 
 
+class _Renewal(NamedTuple):
+    """Hold when, on which connection and as whom a node subscribed last."""
+
+    at: float
+    disconnect_count: int
+    own_member: bytes
+
+
 class PeerSubscriptions:
     """Subscribe to peers and apply the state that they publish."""
 
@@ -195,9 +247,7 @@
         self._directory = directory
         self._peer_connections = peer_connections
         self._new_attempt_id = new_attempt_id
-        # (time, disconnect count of the connection) of the last renewal, by
-        # address.
-        self._renewed: dict[str, tuple[float, int]] = {}
+        self._renewed: dict[str, _Renewal] = {}
         self._reopened_at: dict[messages.NodeId, float] = {}
         self._silent: set[messages.NodeId] = set()
         self._log = logs.get_logger(logs.Component.MEMBERS)
@@ -210,6 +260,7 @@
 
     def renew(self, now: float) -> None:
         """Subscribe where it is due or the connection was lost since."""
+        own_member = self._own_member().encode()
         for view in self._directory.peers_to_subscribe(now):
             member = view.member
             if member.node == self._node:
@@ -218,15 +269,13 @@
             connection = self._peer_connections.connection_to(
                 member, messages.Lane.SHORT
             )
-            renewal = (now, connection.disconnect_count)
+            renewal = _Renewal(now, connection.disconnect_count, own_member)
             last_renewal = self._renewed.get(member.address)
-            is_same_connection = (
-                last_renewal is not None
-                and last_renewal[1] == connection.disconnect_count
+            is_known = last_renewal is not None and (
+                last_renewal[1:] == renewal[1:]
             )
             if not connection.is_connected or (
-                is_same_connection
-                and now - last_renewal[0] < SUBSCRIPTION_RENEW_S
+                is_known and now - last_renewal.at < SUBSCRIPTION_RENEW_S
             ):
                 continue
             self._renewed[member.address] = renewal
@@ -235,7 +284,7 @@
                     messages.Subscribe(
                         self._new_attempt_id(),
                         self._data_centre,
-                        self._own_member().encode(),
+                        b'' if is_known else renewal.own_member,
                     )
                 )
             except sockets.NotSentError:
@@ -247,7 +296,8 @@
         A connection can go silent without a reset while new ones work.
         """
         view = self._directory.peer_view(member.node)
-        renewed_at, _ = self._renewed.get(member.address, (now, 0))
+        renewal = self._renewed.get(member.address)
+        renewed_at = renewal.at if renewal else now
         heard_at = max(
             view.last_heard_at, self._reopened_at.get(member.node, renewed_at)
         )
