Count a caller's wait from its first request

Cause: in overload a refused caller comes back, and its request counted as new: it took a slot from one that could still keep its target and was late itself, since its latency counts from the first request. Callers state how long they will still wait; what is missing from the longest time that a route sees was spent waiting. Such requests queue by what is left of their target, so they get the starts that others leave.

--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -212,7 +212,7 @@
             progress,
             slowness,
             hedge_s,
-            now - req.arrived_at,
+            req.elapsed_s(),
             req.policy.latency_target,
             req.remaining_s(),
             has_budget_reserve,
--- a/jayflow/request/headers.py
+++ b/jayflow/request/headers.py
@@ -74,16 +74,16 @@
     return framed_headers
 
 
-def remaining_s(headers: messages.Headers, default_s: float) -> float:
-    """Return the caller's remaining time, at most the default."""
+def stated_wait_s(headers: messages.Headers) -> float | None:
+    """Return how long the caller will wait, if it says so."""
     value = value_of(headers, DEADLINE_HEADER)
     if value is None:
-        return default_s
+        return None
     if not value.isdigit():
         raise InvalidHeaderError(
             'jayflow-deadline-ms must be whole milliseconds'
         )
-    return min(default_s, int(value) / 1000)
+    return int(value) / 1000
 
 
 def idempotency_key(headers: messages.Headers) -> bytes | None:
