--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -98,16 +98,22 @@
             if view is None:
                 return worst_failure
             state.tried_nodes.append(view.member.node)
+            started_at = time.monotonic()
             result = await self._attempt_hedged(req, view, state, budget)
+            attempt_s = time.monotonic() - started_at
             failure = self._find_failure(req, result)
             if failure is None:
                 return result
             worst_failure = outcome.combine_failures(worst_failure, failure)
             state.servers_reached += retry.has_reached_server(failure)
             reason = self._retry_reason(req, failure, state)
+            next_view = self._choose(req, state.tried_nodes)
             may_retry = (
                 reason is not None
-                and self._choose(req, state.tried_nodes) is not None
+                and next_view is not None
+                and retry.is_next_queue_worthwhile(
+                    failure, attempt_s, next_view.has_free_slot()
+                )
             )
             if (
                 may_retry
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -20,6 +20,8 @@
 # Leaves room for nodes that restart: they get half a burst without having
 # deposited anything.
 FLEET_BURST_FACTOR = 0.7
+# A refusal within this time of an attempt's start cost no time in a queue.
+IMMEDIATE_REFUSAL_S = 0.05
 # Least time until the deadline with which a request is tried again.
 MIN_REMAINING_S = 0.005
 
@@ -107,6 +109,10 @@
         outcome.Reason.DEADLINE,
     }
 )
+# Refusals because the slots and the queue of a server are taken.
+_LOAD_REFUSALS = frozenset(
+    {outcome.Reason.QUEUE_FULL, outcome.Reason.QUEUE_TIME}
+)
 # Refusals by the backend server itself, not by the node in front of it.
 _SERVER_REFUSALS = frozenset(
     {outcome.Reason.SERVER_SHED, outcome.Reason.WRONG_INSTANCE}
@@ -124,6 +130,21 @@
     return failure.reason in _SERVER_REFUSALS
 
 
+def is_next_queue_worthwhile(
+    failure: outcome.Failure, attempt_s: float, has_free_slot: bool
+) -> bool:
+    """Return whether to try another server after a failed attempt.
+
+    A request that waited in a queue in vain waits in no other one: it would
+    be late there as well, and its caller could have come back meanwhile.
+    """
+    return (
+        failure.reason not in _LOAD_REFUSALS
+        or attempt_s < IMMEDIATE_REFUSAL_S
+        or has_free_slot
+    )
+
+
 def retry_reason(
     failure: outcome.Failure, context: RetryContext
 ) -> RetryReason | None:
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -191,6 +191,33 @@
             expected_service_times_ms,
         )
 
+    async def test_a_request_waits_in_one_queue_only(self):
+        # A request once waited in up to four queues in turn, and its caller
+        # learnt only near the deadline that it was refused.
+        for title, delay_s, queued, expected in (
+            ('waited, the next has a queue', 0.1, 5, 0),
+            ('waited, the next has a free slot', 0.1, 0, 1),
+            ('refused at once, the next has a queue', 0.0, 5, 1),
+        ):
+            with self.subTest(title):
+
+                def refuse(start, delay_s=delay_s):
+                    refusal = messages.Refused(
+                        start.attempt, 'queue_time', None
+                    )
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(delay_s, self.exchanges.deliver, refusal)
+                    return []
+
+                dispatcher = self.build(refuse, lambda start: [head(start)])
+                load = messages.Load(4 if queued else 3, queued, 4, 0.0)
+                self.views[1].record_load(load, time.monotonic())
+                req = request(is_idempotent=False)
+                result = await dispatcher.run(req)
+                self.assertEqual(expected, len(self.receivers[1].starts))
+                if not expected:
+                    self.assertIs(outcome.Reason.QUEUE_TIME, result.reason)
+
     async def test_a_refusal_does_not_use_up_a_try(self):
         def refuse(start):
             return [messages.Refused(start.attempt, 'draining', None)]
