Use a restarted node's server before it announces itself again

A node now restores its server from its own record, for 4 s at most: not one that had left or was draining, and requests name the instance.

test_server_registration: which records are used, a silent server is removed, its next announcement is accepted.

--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -426,7 +426,7 @@
         if entry is not None:
             try:
                 last_member = members.Member.decode(entry.value)
-                self._registration.announcement_order.restore(last_member)
+                self._registration.restore(last_member, self._cfg.server)
             except msgspec.DecodeError as exc:
                 self._log.error(
                     'Own member record is malformed; departures that it '
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -16,6 +16,7 @@
 from jayflow.process import member_writer as member_writers
 from jayflow.request import executor as executors
 from jayflow.version import objects
+from jayflow.version import value_parsers
 
 # A server calls the next node if it gets no response within 1 s.
 DEPARTURE_WRITE_TIMEOUT_S = 0.8
@@ -24,6 +25,11 @@
 MAX_DEPARTED = 16
 
 
+# Time for a server to announce itself to a restarted node: two intervals of
+# 1.5 s between announcements and some delay.
+RESTORED_VALID_S = 4.0
+
+
 class AnnounceResult(enum.Enum):
     """Result of an announcement or a withdrawal."""
 
@@ -152,6 +158,35 @@
         self._member_writer = member_writer
         self._log = logs.get_logger(logs.Component.MEMBERS)
 
+    def restore(
+        self, stored: members.Member, server: value_parsers.Address | None
+    ) -> None:
+        """Restore what the node's last process recorded.
+
+        If the address of the server is known and it had not left, it is used
+        until its next announcement is due: requests name the instance, and
+        another one that has its address now does not run them.
+        """
+        self.announcement_order.restore(stored)
+        if server is None or not stored.services or stored.draining:
+            return
+        announcement = announcements.Announcement(
+            instance=stored.instance,
+            services=stored.services,
+            host=server.host,
+            port=server.port,
+            slots=stored.slots,
+            born=stored.born,
+        )
+        result = self.announcement_order.admit(announcement)
+        if result is AnnounceResult.ACCEPTED:
+            self._log.info(
+                'Server of the last process is used until it announces '
+                'itself.',
+                instance=stored.instance,
+            )
+            self.executor.restore_server(announcement, RESTORED_VALID_S)
+
     async def announce(
         self, announcement: announcements.Announcement
     ) -> AnnounceResult:
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -156,6 +156,13 @@
         if server_announcement.draining:
             self._refuse_queued(Reason.DRAINING)
 
+    def restore_server(
+        self, server_announcement: announcement.Announcement, valid_s: float
+    ) -> None:
+        """Use a server for valid_s, within which it has to announce itself."""
+        self.apply_announcement(server_announcement)
+        self.backend.announced_at += valid_s - self._announcement_ttl_s
+
     def remove_server(self) -> None:
         """Drop the backend server; new attempts are refused."""
         server_announcement = self.backend.announcement
--- a/tests/process/test_server_registration.py
+++ b/tests/process/test_server_registration.py
@@ -1,10 +1,15 @@
 """Check which announcements are accepted, in any order of arrival."""
 
+import asyncio
 import unittest
 
 from jayflow.connection import announcement
 from jayflow.connection import member as members
+from jayflow.connection import messages
+from jayflow import metrics as metrics_module
 from jayflow.process import server_registration
+from jayflow.request import executor as executors
+from jayflow.version import value_parsers
 
 AnnounceResult = server_registration.AnnounceResult
 
@@ -76,6 +81,67 @@
 ]
 
 
+SERVER = value_parsers.Address('127.0.0.1', 80)
+DEPARTED = (members.ServerIncarnation('i1', 10),)
+# Title, stored record, address of the server, whether it is used at once.
+RESTORED = [
+    ('ready', {'services': ('s',), 'slots': 4}, SERVER, True),
+    ('no address', {'services': ('s',), 'slots': 4}, None, False),
+    (
+        'draining',
+        {'services': ('s',), 'slots': 4, 'draining': True},
+        SERVER,
+        False,
+    ),
+    (
+        'departed',
+        {'services': ('s',), 'slots': 4, 'left': DEPARTED},
+        SERVER,
+        False,
+    ),
+    ('no server', {'left': DEPARTED}, SERVER, False),
+]
+
+
+class RestoredServerTest(unittest.TestCase):
+    """Check when a restarted node uses its server before it announces itself.
+
+    After all nodes were killed, each waited up to 1.5 s for its server.
+    """
+
+    def build(self):
+        self.now = 100.0
+        executor = executors.Executor(
+            messages.Incarnation(1),
+            metrics_module.Metrics(),
+            lambda: self.now,
+            announcement_ttl_s=15.0,
+        )
+        return server_registration.ServerRegistration(executor, None)
+
+    def test_only_a_server_that_had_not_left_is_used(self):
+        for title, record, server, expected in RESTORED:
+            with self.subTest(title):
+                registration = self.build()
+                registration.restore(_member(**record), server)
+                is_used = registration.executor.backend.slots > 0
+                self.assertEqual(expected, is_used)
+
+    def test_a_server_that_stays_silent_is_removed(self):
+        registration = self.build()
+        registration.restore(_member(services=('s',), slots=4), SERVER)
+        for after_s, expected in ((3.9, 4), (4.1, 0)):
+            self.now = 100.0 + after_s
+            registration.executor._expire(self.now)
+            self.assertEqual(expected, registration.executor.backend.slots)
+
+    def test_the_next_announcement_is_accepted(self):
+        registration = self.build()
+        registration.restore(_member(services=('s',), slots=4), SERVER)
+        result = asyncio.run(registration.announce(new_announcement()))
+        self.assertIs(AnnounceResult.ACCEPTED, result)
+
+
 class AnnouncementOrderTest(unittest.TestCase):
     def test_accepts_or_rejects_by_order(self):
         for title, announcements, expected in CASES:
