Take the most frequent time that callers state for that of first requests

Cause: the longest stated time of a route stood for that of first requests, so one caller that waits for longer made all others look as if they had waited.

test_caller_wait: one caller that waits for longer fails before.

--- a/jayflow/request/caller_wait.py
+++ b/jayflow/request/caller_wait.py
@@ -7,30 +7,35 @@
 all first requests of a route, so what is missing from it was spent waiting.
 """
 
+import collections
 import dataclasses
 
 from jayflow.version import objects
 
-# The longest time sent in this and the last period counts as that of a first
-# request. So a route follows when its callers begin to wait for less.
+# Times are counted for this long; so a route follows when its callers begin
+# to wait for less.
 PERIOD_S = 10.0
-# Requests that state less than this share of the longest time were sent
-# before, or by other callers.
-FULL_TIME_SHARE = 0.98
-# With fewer first requests than this, callers state times of their own, and
-# nothing can be told from them. Callers that return twice leave a third.
+# Times that differ by less than this count as equal.
+RESOLUTION_S = 0.01
+# Callers that return twice leave a third of first requests. With fewer equal
+# times than this, callers state times of their own, and nothing can be told
+# from them.
 MIN_FIRST_SHARE = 0.2
-SHARE_SMOOTHING = 0.02
+MIN_REQUESTS = 10
+# Bounds the memory for a route whose callers state times of their own.
+MAX_DISTINCT_TIMES = 256
 
 
 @dataclasses.dataclass
 class _StatedTimes:
-    """Hold the longest stated times of a route, in seconds."""
+    """Count the stated times of a route, in units of RESOLUTION_S."""
 
     period_ends_at: float
-    longest_s: float = 0.0
-    previous_longest_s: float = 0.0
-    first_share: float = 1.0
+    counts: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # The time of first requests, by the counts of the last period.
+    full_time: int = 0
 
 
 class CallerWaits:
@@ -50,13 +55,20 @@
         if times is None:
             times = self._by_policy[policy] = _StatedTimes(now + PERIOD_S)
         if now >= times.period_ends_at:
-            times.previous_longest_s = times.longest_s
-            times.longest_s = 0.0
+            times.full_time = _most_frequent(times.counts)
+            times.counts.clear()
             times.period_ends_at = now + PERIOD_S
-        times.longest_s = max(times.longest_s, stated_s)
-        longest_s = max(times.longest_s, times.previous_longest_s)
-        is_first = stated_s >= FULL_TIME_SHARE * longest_s
-        times.first_share += SHARE_SMOOTHING * (is_first - times.first_share)
-        if is_first or times.first_share < MIN_FIRST_SHARE:
-            return 0.0
-        return longest_s - stated_s
+        stated = round(stated_s / RESOLUTION_S)
+        if stated in times.counts or len(times.counts) < MAX_DISTINCT_TIMES:
+            times.counts[stated] += 1
+        full_time = _most_frequent(times.counts) or times.full_time
+        return max(0, full_time - stated) * RESOLUTION_S
+
+
+def _most_frequent(counts: collections.Counter[int]) -> int:
+    """Return the time that most requests state, 0 if they differ too much."""
+    total = counts.total()
+    if total < MIN_REQUESTS:
+        return 0
+    time, count = counts.most_common(1)[0]
+    return time if count >= MIN_FIRST_SHARE * total else 0
