--- a/jayflow/request/caller_request.py
+++ b/jayflow/request/caller_request.py
@@ -21,8 +21,7 @@
 
     The body is the first part; if more follow, read_body returns the next
     part and whether more follow. deadline and arrived_at are monotonic
-    seconds; waited_s is how long the caller had waited by then, if it sent
-    the request before. An idempotent request may be retried and hedged.
+    seconds. An idempotent request may be retried and hedged.
     """
 
     service: objects.ServiceName
@@ -37,7 +36,6 @@
     is_idempotent: bool
     fingerprint: quarantine.Fingerprint
     arrived_at: float = dataclasses.field(default_factory=time.monotonic)
-    waited_s: float = 0.0
     id: str = ''
     version: int = 0
     uses_idempotency_key: bool = False
@@ -51,13 +49,10 @@
             return messages.Lane.BULK
         return messages.Lane.SHORT
 
-    def elapsed_s(self) -> float:
-        """Return the seconds since the caller first sent the request."""
-        return self.waited_s + time.monotonic() - self.arrived_at
-
     def remaining_target_s(self) -> float:
         """Return the seconds left until the policy's latency target."""
-        return self.policy.latency_target - self.elapsed_s()
+        elapsed_s = time.monotonic() - self.arrived_at
+        return self.policy.latency_target - elapsed_s
 
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -218,7 +218,7 @@
             progress,
             slowness,
             hedge_s,
-            req.elapsed_s(),
+            now - req.arrived_at,
             req.policy.latency_target,
             req.remaining_s(),
             has_budget_reserve,
--- a/jayflow/request/headers.py
+++ b/jayflow/request/headers.py
@@ -74,16 +74,16 @@
     return framed_headers
 
 
-def stated_wait_s(headers: messages.Headers) -> float | None:
-    """Return how long the caller will wait, if it says so."""
+def remaining_s(headers: messages.Headers, default_s: float) -> float:
+    """Return the caller's remaining time, at most the default."""
     value = value_of(headers, DEADLINE_HEADER)
     if value is None:
-        return None
+        return default_s
     if not value.isdigit():
         raise InvalidHeaderError(
             'jayflow-deadline-ms must be whole milliseconds'
         )
-    return int(value) / 1000
+    return min(default_s, int(value) / 1000)
 
 
 def idempotency_key(headers: messages.Headers) -> bytes | None:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -15,7 +15,6 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.request import caller_request
-from jayflow.request import caller_wait
 from jayflow.request import dispatch
 from jayflow.request import header_dialect
 from jayflow.request import headers as http_headers
@@ -61,7 +60,6 @@
         self._dialect = dialect
         self._caller_service = caller
         self._splitter = splitting.TrafficSplitter(rng or random.Random())
-        self._caller_waits = caller_wait.CallerWaits()
         self._dispatcher = dispatcher
         self._idempotent_runner = idempotent_runner
         self._version = version
@@ -219,16 +217,11 @@
         policy = version.objects.route_policy(route)
         try:
             key = http_headers.idempotency_key(headers)
-            stated_s = http_headers.stated_wait_s(headers)
+            remaining_s = http_headers.remaining_s(headers, policy.deadline)
         except http_headers.InvalidHeaderError:
             return _never_sent(Reason.BAD_REQUEST)
         if key is None and _is_key_required(route, scope['method']):
             return _never_sent(Reason.KEY_REQUIRED)
-        now = time.monotonic()
-        remaining_s, waited_s = policy.deadline, 0.0
-        if stated_s is not None:
-            remaining_s = min(remaining_s, stated_s)
-            waited_s = self._caller_waits.waited_s(policy.name, stated_s, now)
         target = scope['raw_path']
         if scope['query_string']:
             target += b'?' + scope['query_string']
@@ -242,9 +235,8 @@
             body=body.first,
             has_more_body=body.more,
             read_body=body.read,
-            deadline=now + remaining_s,
+            deadline=time.monotonic() + remaining_s,
             is_idempotent=_is_idempotent(route, scope['method']),
-            waited_s=waited_s,
             id=_text(self._dialect.request_id_of(headers)),
             version=version.number,
             uses_idempotency_key=key is not None
