Reject a stored record that describes no valid server

Cause, read in the diff: a record with services but no slots raised ValueError out of the first list and would have ended the node.

--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -13,7 +13,6 @@
 
 import anyio
 import anyio.abc
-import msgspec
 import zmq
 
 from jayflow.connection import http_server
@@ -427,7 +426,7 @@
             try:
                 last_member = members.Member.decode(entry.value)
                 self._registration.restore(last_member, self._cfg.server)
-            except msgspec.DecodeError as exc:
+            except ValueError as exc:
                 self._log.error(
                     'Own member record is malformed; departures that it '
                     'names are not known.',
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -165,7 +165,8 @@
 
         If the address of the server is known and it had not left, it is used
         until its next announcement is due: requests name the instance, and
-        another one that has its address now does not run them.
+        another one that has its address now does not run them. Raises
+        ValueError if the record describes no valid server.
         """
         self.announcement_order.restore(stored)
         if server is None or not stored.services or stored.draining:
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -98,7 +98,7 @@
         if report.is_urgent_after(self.last_report):
             return True
         is_remote = self.distance is routing.Distance.OTHER_REGION
-        if not is_remote and report.is_slowed_since(self.last_report):
+        if not is_remote and report.has_other_slowness(self.last_report):
             return True
         return report != self.last_report and age_s >= pause_s
 
@@ -117,8 +117,8 @@
             or self[1:] != previous[1:]
         )
 
-    def is_slowed_since(self, previous: Self) -> bool:
-        """Return whether the slowness of the server has changed."""
+    def has_other_slowness(self, previous: Self) -> bool:
+        """Return whether the slowness of the server has changed since."""
         return self.load.slowness != previous.load.slowness
 
 
--- a/tests/process/test_server_registration.py
+++ b/tests/process/test_server_registration.py
@@ -127,6 +127,12 @@
                 is_used = registration.executor.backend.slots > 0
                 self.assertEqual(expected, is_used)
 
+    def test_a_record_without_slots_is_rejected(self):
+        registration = self.build()
+        with self.assertRaises(ValueError):
+            registration.restore(_member(services=('s',), slots=0), SERVER)
+        self.assertEqual(0, registration.executor.backend.slots)
+
     def test_a_server_that_stays_silent_is_removed(self):
         registration = self.build()
         registration.restore(_member(services=('s',), slots=4), SERVER)
