Use a member that is too new to have been heard from

A member counts as heard from until it has been known for as long as silence is tolerated (2.5 s). test_routing: too new to have been heard from, fails before.

--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -153,6 +153,7 @@
             member,
             self.distance_to(member.data_centre),
             requires_seat=self._objects.limits_links,
+            known_since=time.monotonic(),
         )
         if previous and previous.member.incarnation == member.incarnation:
             previous.member = member
--- a/jayflow/request/routing.py
+++ b/jayflow/request/routing.py
@@ -102,6 +102,7 @@
     last_heard_at: float = -math.inf
     platform_heard_at: float = -math.inf
     requires_seat: bool = True
+    known_since: float = -math.inf
     slowdowns: slowdown_trackers.SlowdownTracker = dataclasses.field(
         default_factory=slowdown_trackers.SlowdownTracker
     )
@@ -164,12 +165,13 @@
         return SILENCE_TIMEOUT_S < now - self.last_heard_at < math.inf
 
     def is_heard(self, now: float) -> bool:
-        """Return whether a peer sends its state.
+        """Return whether a peer sends its state or is too new for that.
 
         A member whose host is gone for good is still listed; a node that
         has just started has never heard from it.
         """
-        return now - self.last_heard_at <= SILENCE_TIMEOUT_S
+        heard_at = max(self.last_heard_at, self.known_since)
+        return now - heard_at <= SILENCE_TIMEOUT_S
 
     def has_free_slot(self) -> bool:
         """Return whether a slot should be free, by the last report."""
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -106,6 +106,13 @@
         'b',
     ),
     ('never heard from', [view('a')], (), True, 'a'),
+    (
+        'too new to have been heard from',
+        [view('a', known_since=NOW - 1), view('b', last_heard_at=NOW)],
+        ('b',),
+        True,
+        'a',
+    ),
     (
         'never heard from, all others tried',
         [view('a'), view('b', last_heard_at=NOW)],
