Log the rate limit that a server names and what the server gets

Callers see no change. A response header with the requests per second that a server takes (native: Jayflow-Rate-Limit) is decoded and logged when it changes, and once a second while it is in force with the number of requests sent to the server, by where they began, and of polls; the limit is a metric.

--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -56,6 +56,14 @@
     return messages.LoadReport(running, waiting, slots, slowness)
 
 
+def rate_limit_of(headers: messages.Headers) -> float | None:
+    """Return the requests per second that a server takes from all nodes.
+
+    Returns infinity without a limit and None if the header is malformed.
+    """
+    return http_headers.rate_limit_of(headers, protocol.SERVER_LIMIT)
+
+
 DIALECT = header_dialect.HeaderDialect(
     request_id=protocol.REQUEST_ID,
     expected_instance=protocol.EXPECTED_INSTANCE,
@@ -65,4 +73,5 @@
     retry_statuses=frozenset({429, 500, 502, 503, 504}),
     classify=classify,
     load_report_of=load_report_of,
+    rate_limit_of=rate_limit_of,
 )
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -9,6 +9,7 @@
 EXPECTED_INSTANCE = b'jayflow-expected-instance'
 NOT_EXECUTED = b'jayflow-not-executed'
 SERVER_LOAD = b'jayflow-server-load'
+SERVER_LIMIT = b'server-limit'
 CALLER_SERVICE = b'jayflow-caller-service'
 CONTENT_ENCODING = b'content-encoding'
 
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -39,6 +39,7 @@
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
         load = self._executor.load()
+        rate_limit = self._executor.backend.rate_limit
         return self._metrics.to_prometheus_text(
             {
                 'version': self._active_version.current.number,
@@ -48,6 +49,7 @@
                 'door_queued': load.queued,
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
+                'server_requests_per_s_limit': rate_limit.requests_per_s,
             }
         )
 
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import time
 
 from jayflow.connection import announcement
@@ -14,6 +15,7 @@
 from jayflow.request import concurrency_limit
 from jayflow.request import header_dialect
 from jayflow.request import job as jobs
+from jayflow.request import rate_limit
 from jayflow.request import slowdowns
 from jayflow.version import objects
 
@@ -46,6 +48,7 @@
         self._concurrency_limit = (
             concurrency_limit.ConcurrencyLimit() if is_adaptive else None
         )
+        self.rate_limit = rate_limit.RateLimit()
         self._slowdowns = slowdowns.SlowdownTracker()
         self._cold_start_until = 0.0
         self._log = logs.get_logger(logs.Component.EXECUTOR)
@@ -85,6 +88,7 @@
             or previous.start_id != server_announcement.start_id
         ):
             self._cold_start_until = now + server_announcement.cold_start_s
+            self.rate_limit = rate_limit.RateLimit()
             self._log.info(
                 'Server announced itself.',
                 instance=server_announcement.instance,
@@ -108,6 +112,40 @@
         self._slowdowns.observe(report.slowness, now)
         return self._slowdowns.slowness != old_slowness
 
+    def observe_rate_limit(
+        self, headers: messages.Headers, is_poll: bool = False
+    ) -> None:
+        """Record the rate limit that a response names, if any.
+
+        Only the response to a request ends a limit.
+        """
+        requests_per_s = self._dialect.rate_limit_of(headers)
+        if requests_per_s is None:
+            self._log.warning('Server names a malformed rate limit.')
+            return
+        if is_poll and math.isinf(requests_per_s):
+            return
+        if self.rate_limit.update(requests_per_s):
+            self._log.info(
+                'Server changed its rate limit.',
+                requests_per_s=None
+                if math.isinf(requests_per_s)
+                else requests_per_s,
+                is_poll=is_poll,
+            )
+
+    def report_rate_limit(self) -> None:
+        """Log what a server with a rate limit got, once per interval."""
+        counts = self.rate_limit.take_counts(self._clock())
+        if counts is not None:
+            self._log.info(
+                'Requests sent to a server with a rate limit.',
+                requests_per_s=self.rate_limit.requests_per_s,
+                own_node=counts.own_node,
+                other_nodes=counts.other_nodes,
+                polls=counts.polls,
+            )
+
     def update_concurrency_limit(
         self, job: jobs.Job, service_s: float
     ) -> None:
@@ -147,10 +185,12 @@
         conn = await pool.acquire(is_idempotent=True)
         try:
             host = f'{pool.host}:{pool.port}'.encode()
+            self.rate_limit.counts.polls += 1
             conn.write_head('GET', path.encode(), [(b'host', host)], b'')
             await conn.read_head()
             async for _ in conn.iter_parts():
                 pass
+            self.observe_rate_limit(conn.headers, is_poll=True)
             return self._dialect.load_report_of(conn.headers)
         finally:
             pool.release(conn)
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -397,6 +397,11 @@
             job.is_closed = True
             return
         job.is_started = True
+        counts = self.backend.rate_limit.counts
+        if start.attempt.sender == self.incarnation:
+            counts.own_node += 1
+        else:
+            counts.other_nodes += 1
         self._running.add(start.attempt)
         try:
             await self._exchange_with_server(job, conn)
@@ -429,6 +434,7 @@
     def _check_head(self, status: int, headers: messages.Headers) -> None:
         """Raise if the response is invalid or the request did not run."""
         self.record_load_report(self.dialect.load_report_of(headers))
+        self.backend.observe_rate_limit(headers)
         response_kind = self.dialect.classify(status, headers)
         if response_kind in _NOT_RUN_REASONS:
             raise _NotRunError(_NOT_RUN_REASONS[response_kind])
@@ -525,6 +531,7 @@
                 job.cancel(Reason.DEADLINE)
         self._attempt_registry.expire(now)
         self.crash_tracker.quarantine.expire(now)
+        self.backend.report_rate_limit()
         if self.backend.announcement is None:
             return
         if now - self.backend.announced_at > self._announcement_ttl_s:
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -13,6 +13,7 @@
 from jayflow.request import headers as http_headers
 
 OUTCOME_HEADER = b'jayflow-outcome'
+RATE_LIMIT_HEADER = b'jayflow-rate-limit'
 SHED_STATUSES = frozenset({429, 503})
 
 
@@ -32,6 +33,10 @@
     return ResponseKind.RESPONSE
 
 
+def _default_rate_limit_of(headers: messages.Headers) -> float | None:
+    return http_headers.rate_limit_of(headers, RATE_LIMIT_HEADER)
+
+
 def _no_load(headers: messages.Headers) -> None:
     del headers
 
@@ -57,6 +62,11 @@
     load_report_of: Callable[
         [messages.Headers], messages.LoadReport | None
     ] = _no_load
+    # Requests per second that a server takes from all nodes together:
+    # infinity without a limit, None if the header is malformed.
+    rate_limit_of: Callable[[messages.Headers], float | None] = (
+        _default_rate_limit_of
+    )
 
     def caller_headers(
         self, headers: messages.Headers, caller: str
--- a/jayflow/request/headers.py
+++ b/jayflow/request/headers.py
@@ -1,10 +1,14 @@
 """Filter the headers that a node forwards and parse those it reads."""
 
+import math
+import re
+
 from jayflow.connection import messages
 
 IDEMPOTENCY_KEY_HEADER = b'idempotency-key'
 DEADLINE_HEADER = b'jayflow-deadline-ms'
 MAX_KEY_BYTES = 255
+_DECIMAL = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,20})?')
 _HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -34,6 +38,22 @@
     return None
 
 
+def decimal_of(headers: messages.Headers, name: bytes) -> float | None:
+    """Return a decimal header, None if it is missing or malformed."""
+    value = value_of(headers, name) or b''
+    return float(value) if _DECIMAL.fullmatch(value) else None
+
+
+def rate_limit_of(headers: messages.Headers, name: bytes) -> float | None:
+    """Return the requests per second that a header allows.
+
+    Returns infinity if the header is missing and None if it is malformed.
+    """
+    if value_of(headers, name) is None:
+        return math.inf
+    return decimal_of(headers, name)
+
+
 def has_no_duplicates(
     headers: messages.Headers, names: tuple[bytes, ...]
 ) -> bool:
--- a/jayflow/request/response.py
+++ b/jayflow/request/response.py
@@ -6,7 +6,6 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-import re
 
 from jayflow.connection import messages
 from jayflow.connection import sockets
@@ -18,7 +17,6 @@
 SHED_STATUSES = frozenset({429, 503})
 OUTCOME_HEADER = b'jayflow-outcome'
 RETRY_AFTER_HEADER = b'retry-after'
-_DECIMAL = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 
 class TruncatedResponseError(Exception):
@@ -63,8 +61,8 @@
     @property
     def retry_after_s(self) -> float:
         """Return the retry-after header in seconds, 0 without a valid one."""
-        value = self.header(RETRY_AFTER_HEADER) or b''
-        return float(value) if _DECIMAL.fullmatch(value) else 0.0
+        value_s = http_headers.decimal_of(self.headers, RETRY_AFTER_HEADER)
+        return value_s or 0.0
 
     @property
     def was_shed_by_server(self) -> bool:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,6 @@
 """Check how the headers of a server's response are interpreted."""
 
+import math
 import unittest
 
 from jayflow.connection import messages
@@ -45,6 +46,20 @@
     ('too few figures', b'3', None),
     ('negative number', b'-3,0,8', None),
 ]
+RATE_LIMITS = [
+    ('none', [ID], math.inf),
+    ('fraction', [(b'server-limit', b'10.4')], 10.4),
+    (
+        'long fraction',
+        [(b'server-limit', b'10.399999999999999')],
+        10.399999999999999,
+    ),
+    ('whole number', [(b'server-limit', b'7')], 7.0),
+    ('zero', [(b'server-limit', b'0')], 0.0),
+    ('negative', [(b'server-limit', b'-1')], None),
+    ('no number', [(b'server-limit', b'nan')], None),
+    ('empty', [(b'server-limit', b'')], None),
+]
 
 
 class HeadersTest(unittest.TestCase):
@@ -62,6 +77,11 @@
                 self.assertEqual(expected, report)
         self.assertIsNone(headers.load_report_of([]))
 
+    def test_rate_limits_are_decoded(self):
+        for title, rows, expected in RATE_LIMITS:
+            with self.subTest(title):
+                self.assertEqual(expected, headers.rate_limit_of(rows))
+
     def test_a_callers_own_service_header_is_replaced(self):
         rows = [(b'jayflow-caller-service', b'forged'), ID]
         replaced = headers.DIALECT.caller_headers(rows, 'shop')
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -21,6 +21,7 @@
     'jayflow-server-signature',
     'jayflow-not-executed',
     'jayflow-server-load',
+    'server-limit',
     'jayflow-expected-instance',
     'jayflow-caller-service',
     'jayflow-request-id',
