--- /dev/null
+++ b/tests/request/test_rate_limit.py
@@ -0,0 +1,113 @@
+"""Test what a backend server gets while it names a rate limit."""
+
+import asyncio
+import bisect
+
+from jayflow.connection import announcement
+from jayflow import metrics as metrics_module
+from jayflow.request import executor as executors
+from tests.request import test_executor
+from tests import virtual_time
+
+PORT = 9
+WORK_S = 0.05
+OFFERED_PER_S = 60
+DURATION_S = 16.0
+# The rule of the users: half as much again as the limit, and 5 requests.
+WINDOW_S = 4.0
+MAX_RATIO = 1.5
+MAX_EXTRA = 5
+# Time that the nodes have to act on a new limit.
+STABLE_WINDOW_S = 3.0
+# Title, limit in requests per second, since when in s, until when in s, and
+# requests that the server should get while it names the limit.
+CASES = [
+    ('low', 1.5, 2.0, 14.0, range(12, 24)),
+    ('medium', 10.0, 2.0, 14.0, range(96, 140)),
+    ('above what is offered', 100.0, 2.0, 14.0, range(650, 721)),
+    ('none', 0.0, 2.0, 14.0, range(3, 20)),
+]
+
+
+class LimitedServer:
+    """Respond after WORK_S, naming a limit for a time; record arrivals."""
+
+    def __init__(self, clock, limit: float, begins: float, ends: float):
+        self.arrivals: list[float] = []
+        self._clock = clock
+        self._limit = limit
+        self._begins = begins
+        self._ends = ends
+
+    async def serve(self, reader, writer) -> None:
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                self.arrivals.append(self._clock())
+                await asyncio.sleep(WORK_S)
+                writer.write(self._response(self._clock()))
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.close()
+
+    def _response(self, now: float) -> bytes:
+        limit = b''
+        if self._begins <= now < self._ends:
+            limit = b'jayflow-rate-limit: %.1f\r\n' % self._limit
+        return b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n%b\r\nok' % limit
+
+    def most_in_window(self, since: float, until: float) -> int:
+        """Return the most arrivals in any window between two times."""
+        times = [at for at in self.arrivals if since <= at <= until]
+        return max(
+            (
+                bisect.bisect_right(times, first + WINDOW_S) - index
+                for index, first in enumerate(times)
+            ),
+            default=0,
+        )
+
+
+class RateLimitTest(virtual_time.VirtualTimeTestCase):
+    def offer(self, limit, begins, ends):
+        """Offer requests to a server with a limit; return the server."""
+
+        async def main(loop):
+            server = LimitedServer(loop.time, limit, begins, ends)
+            loop.serve_port(PORT, server.serve)
+            executor = executors.Executor(
+                test_executor.INCARNATION,
+                metrics_module.Metrics(),
+                loop.time,
+                announcement_ttl_s=DURATION_S + 1,
+            )
+            executor.apply_announcement(
+                announcement.Announcement(
+                    'i1', ('lookups',), '127.0.0.1', PORT, 18
+                )
+            )
+            running = asyncio.create_task(executor.run())
+            for sequence in range(1, int(OFFERED_PER_S * DURATION_S)):
+                executor.handle(
+                    test_executor.start(sequence), lambda reply: None
+                )
+                await asyncio.sleep(1 / OFFERED_PER_S)
+            running.cancel()
+            await asyncio.wait([running])
+            return server
+
+        return self.run_virtual(main)
+
+    def test_a_server_got_more_requests_than_the_limit_it_had_named(self):
+        for title, limit, begins, ends, expected in CASES:
+            with self.subTest(title):
+                server = self.offer(limit, begins, ends)
+                allowed = MAX_RATIO * limit * WINDOW_S + MAX_EXTRA
+                self.assertLessEqual(
+                    server.most_in_window(begins + STABLE_WINDOW_S, ends),
+                    allowed,
+                )
+                during = sum(
+                    begins + 0.1 < at < ends for at in server.arrivals
+                )
+                self.assertIn(during, expected)
