Start no more requests per second than a backend server takes

Cause: no part of a node read the limit. All requests to a server pass through the executor beside it, so a token bucket there keeps the rate of the whole fleet without any message; the slots that it reports shrink to what the rate can fill, so senders choose other servers before requests queue. A limited server is polled once a second at most. What can't start in time is refused as rate_limit, not run, and tried elsewhere.

--- a/jayflow/process/load_polling.py
+++ b/jayflow/process/load_polling.py
@@ -19,15 +19,21 @@
 MAX_POLL_INTERVAL_S = 0.2
 # An idle server is polled less often, as little is sent to it.
 IDLE_INTERVAL_FACTOR = 5
+# A server that limits the requests per second gets few polls beside them.
+LIMITED_POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_S = 0.5
 
 
-def poll_interval_s(mean_service_s: float, is_busy: bool) -> float:
+def poll_interval_s(
+    mean_service_s: float, is_busy: bool, is_limited: bool = False
+) -> float:
     """Return the pause between two polls of a server.
 
     It grows with the time that a request takes, because a report has to be
     recent only in proportion to it.
     """
+    if is_limited:
+        return LIMITED_POLL_INTERVAL_S
     interval_s = min(
         MAX_POLL_INTERVAL_S,
         max(MIN_POLL_INTERVAL_S, mean_service_s / POLLS_PER_REQUEST),
@@ -52,6 +58,7 @@
             interval_s = poll_interval_s(
                 self._executor.load().latency_ms / 1000,
                 self._executor.in_flight > 0,
+                self._executor.backend.rate_limit.is_limited,
             )
             await anyio.sleep(interval_s)
             age_s = time.monotonic() - self._executor.backend.load_reported_at
--- a/jayflow/request/admission.py
+++ b/jayflow/request/admission.py
@@ -14,6 +14,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from jayflow.request import outcome
+from jayflow.request import rate_limit as rate_limits
 
 Reason = outcome.Reason
 Item = TypeVar('Item')
@@ -84,7 +85,8 @@
     """Count the slots in use and queue the requests that wait for one."""
 
     def __init__(self, slots: int, services: int = 1) -> None:
-        self.slots = slots
+        self._server_slots = slots
+        self._rate_limit = rate_limits.RateLimit()
         self._services = services
         self._queue: list[QueuedRequest[Item]] = []
         self._by_service: collections.Counter[str] = collections.Counter()
@@ -100,10 +102,20 @@
         """Return how many requests wait."""
         return len(self._queue)
 
-    def resize(self, slots: int, services: int) -> None:
-        """Set the slots and the number of services that share them."""
-        self.slots = slots
+    @property
+    def slots(self) -> int:
+        """Return how many slots can be in use, given the rate limit."""
+        return self._rate_limit.usable_slots(
+            self._server_slots, self.mean_service_s
+        )
+
+    def resize(
+        self, slots: int, services: int, rate_limit: rate_limits.RateLimit
+    ) -> None:
+        """Set the slots, the services that share them and the rate limit."""
+        self._server_slots = slots
         self._services = services
+        self._rate_limit = rate_limit
 
     def try_start(
         self,
@@ -111,6 +123,7 @@
         rank: int,
         is_exclusive: bool = False,
         max_slot_share: float = 1.0,
+        now: float = 0.0,
     ) -> bool:
         """Take a slot unless none is free or waiting requests go first.
 
@@ -123,7 +136,7 @@
         ):
             return False
         if not self._try_take_slot(
-            service, rank, is_exclusive, max_slot_share
+            service, rank, is_exclusive, max_slot_share, now
         ):
             return False
         # Nothing waits for this slot, so a late request could have had it.
@@ -142,7 +155,7 @@
         ahead = sum(queued.sort_key(now) <= key for queued in self._queue)
         if not self.slots or ahead >= max_length:
             return Rejection(queued_request, Reason.QUEUE_FULL)
-        wait_s = self._wait_s(ahead, key.is_late)
+        wait_s = self._wait_s(ahead, key.is_late, now)
         if (
             now + wait_s > queued_request.expires_at
             and not queued_request.is_exclusive
@@ -155,12 +168,15 @@
         self._queue.append(queued_request)
         return displaced and Rejection(displaced, Reason.QUEUE_FULL)
 
-    def _wait_s(self, ahead: int, is_late: bool) -> float:
+    def _wait_s(self, ahead: int, is_late: bool, now: float) -> float:
         """Estimate the wait of a request with others ahead of it.
 
         Late requests get only the starts that those on time leave to them.
         """
-        wait_s = (ahead + 1) * self.mean_service_s / self.slots
+        wait_s = max(
+            (ahead + 1) * self.mean_service_s / self.slots,
+            self._rate_limit.wait_s(ahead + 1, now),
+        )
         return wait_s / self._late_share if is_late else wait_s
 
     def release_slot(self, service: str, rank: int, elapsed_s: float) -> None:
@@ -183,6 +199,7 @@
                 queued_request.rank,
                 queued_request.is_exclusive,
                 queued_request.max_slot_share,
+                now,
             ):
                 self._queue.remove(queued_request)
                 self._update_late_share(queued_request.sort_key(now).is_late)
@@ -228,7 +245,8 @@
         ):
             return False
         is_late = queued_request.sort_key(now).is_late
-        return now + self._wait_s(ahead, is_late) > queued_request.expires_at
+        wait_s = self._wait_s(ahead, is_late, now)
+        return now + wait_s > queued_request.expires_at
 
     def remove(self, item: Item) -> bool:
         """Remove a waiting request; return whether it was queued."""
@@ -246,9 +264,12 @@
         rank: int,
         is_exclusive: bool,
         max_slot_share: float,
+        now: float,
     ) -> bool:
         if self._is_exclusive or self.running >= self.slots:
             return False
+        if self._rate_limit.wait_s(1, now) > 0:
+            return False
         if is_exclusive and self.running:
             return False
         if self._by_rank[rank] >= max(1, int(self.slots * max_slot_share)):
@@ -257,6 +278,7 @@
         if self._services > 1 and taken >= self._max_service_slots():
             return False
         self.running += 1
+        self._rate_limit.take(now)
         self._is_exclusive = is_exclusive
         self._by_rank[rank] += 1
         self._by_service[service] += 1
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -125,7 +125,7 @@
             return
         if is_poll and math.isinf(requests_per_s):
             return
-        if self.rate_limit.update(requests_per_s):
+        if self.rate_limit.update(requests_per_s, self._clock()):
             self._log.info(
                 'Server changed its rate limit.',
                 requests_per_s=None
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -257,7 +257,11 @@
         )
         self._jobs[start.attempt] = job
         if self._admission_queue.try_start(
-            start.service, start.rank, job.is_exclusive, start.slot_share
+            start.service,
+            start.rank,
+            job.is_exclusive,
+            start.slot_share,
+            now,
         ):
             self._spawn(job)
         else:
@@ -307,7 +311,9 @@
             start.service,
             start.rank,
             now + min(wait_s, max_wait_s),
-            Reason.QUEUE_TIME,
+            Reason.RATE_LIMIT
+            if self.backend.rate_limit.is_limited
+            else Reason.QUEUE_TIME,
             job.is_exclusive,
             start.slot_share,
             target_start,
@@ -519,13 +525,18 @@
             self._refuse(job.start, reason, job.reply)
 
     def _resize(self) -> None:
-        services = len(self.backend.services)
-        self._admission_queue.resize(self.backend.slots, max(1, services))
+        self._admission_queue.resize(
+            self.backend.slots,
+            max(1, len(self.backend.services)),
+            self.backend.rate_limit,
+        )
 
     def _expire(self, now: float) -> None:
         for queued_request in self._admission_queue.remove_expired(now):
             job = self._jobs.pop(queued_request.item)
             self._refuse(job.start, queued_request.reason, job.reply)
+        if self.backend.rate_limit.is_limited:
+            self._start_queued()
         for job in list(self._jobs.values()):
             if job.is_overdue(now):
                 job.cancel(Reason.DEADLINE)
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -47,6 +47,7 @@
     NOT_SERVED_HERE = 'not_served_here'
     QUEUE_FULL = 'queue_full'
     QUEUE_TIME = 'queue_time'
+    RATE_LIMIT = 'rate_limit'
     DEADLINE = 'deadline'
     CANCELLED = 'cancelled'
     RETRY_BUDGET = 'retry_budget'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -39,6 +39,7 @@
     Reason.NODE_STOPPING: 0.5,
     Reason.QUEUE_TIME: 0.25,
     Reason.QUEUE_FULL: 0.25,
+    Reason.RATE_LIMIT: 0.25,
 }
 
 
--- a/jayflow/request/retry.py
+++ b/jayflow/request/retry.py
@@ -109,9 +109,14 @@
         outcome.Reason.DEADLINE,
     }
 )
-# Refusals because the slots and the queue of a server are taken.
+# Refusals because the slots and the queue of a server are taken, or the
+# requests that it takes per second.
 _LOAD_REFUSALS = frozenset(
-    {outcome.Reason.QUEUE_FULL, outcome.Reason.QUEUE_TIME}
+    {
+        outcome.Reason.QUEUE_FULL,
+        outcome.Reason.QUEUE_TIME,
+        outcome.Reason.RATE_LIMIT,
+    }
 )
 # Refusals by the backend server itself, not by the node in front of it.
 _SERVER_REFUSALS = frozenset(
