Send no more to a server that says in a response that it is leaving

What callers could see: requests refused or cut by a server that had already said that it stops.

The executor drains the server on the first response or poll that says so, and the departure is stored like an announced one, so a late announcement of readiness does not undo it. The node where the request began remembers the server as well: the executor's node may restart before the platform holds the departure.

--- a/jayflow/connection/announcement.py
+++ b/jayflow/connection/announcement.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from jayflow.connection import messages
 from jayflow.version import objects
 
 MAX_SLOTS = 100_000
@@ -40,9 +41,9 @@
             raise ValueError('port must be from 1 to 65535')
 
     @property
-    def start_id(self) -> tuple[str, int]:
-        """Return a pair that identifies one start of the server's process."""
-        return self.instance, self.born
+    def incarnation(self) -> messages.ServerIncarnation:
+        """Return what identifies this start of the server's process."""
+        return messages.ServerIncarnation(self.instance, self.born)
 
     @property
     def max_concurrency(self) -> int:
--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -14,17 +14,6 @@
 KEY_PREFIX = 'live/members/'
 
 
-class ServerIncarnation(msgspec.Struct, frozen=True):
-    """Identify one process of a backend server instance.
-
-    `born` is when the process started; it distinguishes the starts of one
-    instance.
-    """
-
-    instance: str
-    born: int
-
-
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """Represent what one node publishes about itself to all others.
 
@@ -44,7 +33,7 @@
     has_seat: bool = False
     instance: str = ''
     born: int = 0
-    left: tuple[ServerIncarnation, ...] = ()
+    left: tuple[messages.ServerIncarnation, ...] = ()
 
     @property
     def key(self) -> str:
@@ -56,6 +45,11 @@
         """Return the ZeroMQ address that peers connect to."""
         return f'tcp://{self.host}:{self.port}'
 
+    @property
+    def server(self) -> messages.ServerIncarnation:
+        """Return the start of the backend server beside the node."""
+        return messages.ServerIncarnation(self.instance, self.born)
+
     def accepts(self, service: objects.ServiceName) -> bool:
         """Return whether new requests for a service may be sent here."""
         return service in self.services and not self.draining
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -43,6 +43,17 @@
     sequence: int
 
 
+class ServerIncarnation(msgspec.Struct, frozen=True):
+    """Identify one process of a backend server instance.
+
+    `born` is when the process started; it distinguishes the starts of one
+    instance.
+    """
+
+    instance: str
+    born: int
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """Represent the load that a backend server reports of itself.
 
@@ -233,7 +244,8 @@
     """Carry a response's head and the first part of its body.
 
     `service_ms` is the time that the backend server took until the head,
-    without the time in the node's queue.
+    without the time in the node's queue. `leaving` is the server, if it says
+    in this response that it is leaving.
     """
 
     attempt: AttemptId
@@ -243,6 +255,7 @@
     last: bool
     load: Load | None
     service_ms: int = 0
+    leaving: ServerIncarnation | None = None
 
 
 class ResponsePart(msgspec.Struct, array_like=True, tag='P'):
--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -64,6 +64,11 @@
     return http_headers.rate_limit_of(headers, protocol.SERVER_LIMIT)
 
 
+def is_leaving(headers: messages.Headers) -> bool:
+    """Return whether a server says that it is leaving."""
+    return http_headers.value_of(headers, protocol.SERVER_LEAVING) == b'1'
+
+
 DIALECT = header_dialect.HeaderDialect(
     request_id=protocol.REQUEST_ID,
     expected_instance=protocol.EXPECTED_INSTANCE,
@@ -74,4 +79,5 @@
     classify=classify,
     load_report_of=load_report_of,
     rate_limit_of=rate_limit_of,
+    is_leaving=is_leaving,
 )
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -10,6 +10,7 @@
 NOT_EXECUTED = b'jayflow-not-executed'
 SERVER_LOAD = b'jayflow-server-load'
 SERVER_LIMIT = b'server-limit'
+SERVER_LEAVING = b'server-leaving'
 CALLER_SERVICE = b'jayflow-caller-service'
 CONTENT_ENCODING = b'content-encoding'
 
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -26,6 +26,8 @@
 SUBSET_REFRESH_S = 1.0
 # How long a member that fell silent is left out of the subsets.
 SILENT_EXCLUSION_S = 30.0
+# Leaving servers that are remembered; beyond it, the oldest is forgotten.
+MAX_LEAVING_SERVERS = 1000
 
 
 class MemberDirectory:
@@ -49,6 +51,8 @@
         self._platform_sources: list[routing.PeerView] = []
         self._refreshed_at = -math.inf
         self._excluded_until: dict[messages.NodeId, float] = {}
+        # Ordered by age; the values are not used.
+        self._leaving: dict[messages.ServerIncarnation, None] = {}
 
     def known_members(self) -> list[members.Member]:
         """Return all known members."""
@@ -169,10 +173,24 @@
         ):
             self._excluded_until.pop(member.node, None)
         self._views[member.node] = view
+        if member.server in self._leaving:
+            return
         for service in member.services:
             if member.accepts(service):
                 self._by_service.setdefault(service, []).append(view)
 
+    def mark_leaving(self, server: messages.ServerIncarnation) -> None:
+        """Use a server no more that said in a response that it is leaving.
+
+        Its own node may forget that when it restarts.
+        """
+        self._leaving[server] = None
+        if len(self._leaving) > MAX_LEAVING_SERVERS:
+            del self._leaving[next(iter(self._leaving))]
+        for view in self._views.values():
+            if view.member.server == server:
+                self._drop_from_services(view.member.node)
+
     def put_from_node(self, member: members.Member) -> None:
         """Add a member that described itself.
 
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -146,6 +146,7 @@
             cfg.data_centre,
             self._new_retry_budget,
             environment.dialect,
+            self._directory.mark_leaving,
         )
         writer = claim_writer.ClaimWriter(
             self._platform_at(cfg.claims_per_s), self._metrics
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -12,6 +12,7 @@
 
 from jayflow.connection import announcement as announcements
 from jayflow.connection import member as members
+from jayflow.connection import messages
 from jayflow import logs
 from jayflow.process import member_writer as member_writers
 from jayflow.request import executor as executors
@@ -49,19 +50,17 @@
     """
 
     def __init__(self) -> None:
-        self.departed: tuple[members.ServerIncarnation, ...] = ()
-        self.draining: members.ServerIncarnation | None = None
+        self.departed: tuple[messages.ServerIncarnation, ...] = ()
+        self.draining: messages.ServerIncarnation | None = None
         # (start time, sequence) of the newest announcement, by instance.
         self._newest: dict[str, tuple[int, int]] = {}
-        self._current: members.ServerIncarnation | None = None
+        self._current: messages.ServerIncarnation | None = None
 
     def admit(
         self, announcement: announcements.Announcement
     ) -> AnnounceResult:
         """Return whether an announcement is current; if so, record it."""
-        server = members.ServerIncarnation(
-            announcement.instance, announcement.born
-        )
+        server = announcement.incarnation
         if self._has_left(server):
             return AnnounceResult.LEFT
         if (
@@ -87,11 +86,16 @@
         """Restore the departures that the node's last process recorded."""
         self.departed = stored.left
         if stored.draining:
-            self.draining = members.ServerIncarnation(
+            self.draining = messages.ServerIncarnation(
                 stored.instance, stored.born
             )
 
-    def record_departure(self, server: members.ServerIncarnation) -> bool:
+    def record_draining(self, server: messages.ServerIncarnation) -> None:
+        """Record that a server is leaving, unless another one replaced it."""
+        if server == self._current:
+            self.draining = server
+
+    def record_departure(self, server: messages.ServerIncarnation) -> bool:
         """Record that a server left; return whether it was the current one.
 
         Earlier starts under the same instance name have left as well.
@@ -112,12 +116,12 @@
             return self._current.born
         return now_ms
 
-    def _has_left(self, server: members.ServerIncarnation) -> bool:
+    def _has_left(self, server: messages.ServerIncarnation) -> bool:
         return any(
             _is_same_or_earlier(server, departed) for departed in self.departed
         )
 
-    def _is_older(self, server: members.ServerIncarnation) -> bool:
+    def _is_older(self, server: messages.ServerIncarnation) -> bool:
         """Return whether another server started before the current one."""
         current = self._current
         return (
@@ -128,7 +132,7 @@
 
 
 def _is_same_or_earlier(
-    server: members.ServerIncarnation, reference: members.ServerIncarnation
+    server: messages.ServerIncarnation, reference: messages.ServerIncarnation
 ) -> bool:
     """Return whether a server is the reference or an earlier start of it."""
     return (
@@ -153,6 +157,7 @@
     ) -> None:
         self._is_known_service = is_known_service
         self.executor = executor
+        executor.on_server_leaving = self.record_leaving
         self.announcement_order = AnnouncementOrder()
         self.is_restored = True
         self._member_writer = member_writer
@@ -222,6 +227,11 @@
             )
         return await self._confirm_departure()
 
+    def record_leaving(self, server: messages.ServerIncarnation) -> None:
+        """Handle a response in which a server says that it is leaving."""
+        self.announcement_order.record_draining(server)
+        self.executor.drain_server(server)
+
     async def withdraw(self, instance: str, born: int = 0) -> AnnounceResult:
         """Handle a server's message that it has left for good.
 
@@ -234,7 +244,7 @@
         born = born or self.announcement_order.start_time_ms(instance, now_ms)
         departed_before = self.announcement_order.departed
         if self.announcement_order.record_departure(
-            members.ServerIncarnation(instance, born)
+            messages.ServerIncarnation(instance, born)
         ):
             self.executor.remove_server()
         if self.announcement_order.departed != departed_before:
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -85,7 +85,7 @@
         self.services = server_announcement.services
         if (
             previous is None
-            or previous.start_id != server_announcement.start_id
+            or previous.incarnation != server_announcement.incarnation
         ):
             self._cold_start_until = now + server_announcement.cold_start_s
             self.rate_limit = rate_limit.RateLimit()
@@ -174,14 +174,17 @@
                 backend_client.ConnectionFault.REFUSED, sent=False
             )
         job.pool = self.pool
-        job.instance = self.announcement.instance
+        job.server = self.announcement.incarnation
         return await job.pool.acquire(job.start.is_idempotent)
 
-    async def fetch_load_report(self, path: str) -> messages.LoadReport | None:
-        """Request the load report; raise BackendError without a response."""
+    async def poll(self, path: str) -> messages.Headers:
+        """Request a path; return the headers of the response.
+
+        Raises BackendError without a response.
+        """
         pool = self.pool
         if pool is None:
-            return None
+            return []
         conn = await pool.acquire(is_idempotent=True)
         try:
             host = f'{pool.host}:{pool.port}'.encode()
@@ -190,8 +193,7 @@
             await conn.read_head()
             async for _ in conn.iter_parts():
                 pass
-            self.observe_rate_limit(conn.headers, is_poll=True)
-            return self._dialect.load_report_of(conn.headers)
+            return conn.headers
         finally:
             pool.release(conn)
 
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -69,8 +69,12 @@
         data_centre: objects.DataCentreName,
         new_budget: RetryBudgetFactory = retry.RetryBudget,
         dialect: header_dialect.HeaderDialect = header_dialect.DEFAULT_DIALECT,
+        on_server_leaving: Callable[
+            [messages.ServerIncarnation], None
+        ] = lambda server: None,
     ) -> None:
         self._dialect = dialect
+        self._on_server_leaving = on_server_leaving
         self._new_budget = new_budget
         self._estimates = work_estimates.WorkEstimates()
         self._log = logs.get_logger(logs.Component.DISPATCH)
@@ -350,6 +354,8 @@
         try:
             result = await attempt.wait_for_response()
             if isinstance(result, responses.Response):
+                if result.leaving is not None:
+                    self._on_server_leaving(result.leaving)
                 await self._buffer_response(
                     req, view, result, slowness_at_start
                 )
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -11,6 +11,7 @@
 import time
 
 import anyio
+import msgspec
 
 from jayflow.connection import announcement
 from jayflow.connection import backend_client
@@ -89,6 +90,9 @@
         )
         self.on_state_change: Callable[[], None] = lambda: None
         self.on_slowness_change: Callable[[], None] = lambda: None
+        self.on_server_leaving: Callable[
+            [messages.ServerIncarnation], None
+        ] = self.drain_server
         self.link_budget_for: LinkBudgetFor = _no_link_budget
         self.is_stopping = False
         self._metrics = metrics
@@ -145,7 +149,25 @@
 
     async def poll_load(self, path: str) -> None:
         """Request the server's load; raise BackendError without a response."""
-        self.record_load_report(await self.backend.fetch_load_report(path))
+        announced = self.backend.announcement
+        headers = await self.backend.poll(path)
+        if announced is not None:
+            self._observe_server(announced.incarnation, headers, is_poll=True)
+
+    def _observe_server(
+        self,
+        server: messages.ServerIncarnation,
+        headers: messages.Headers,
+        is_poll: bool = False,
+    ) -> None:
+        """Record what a server says of itself in a response."""
+        announced = self.backend.announcement
+        if announced is None or announced.incarnation != server:
+            return
+        self.record_load_report(self.dialect.load_report_of(headers))
+        self.backend.observe_rate_limit(headers, is_poll)
+        if self.dialect.is_leaving(headers):
+            self.on_server_leaving(server)
 
     def apply_announcement(
         self, server_announcement: announcement.Announcement
@@ -166,6 +188,23 @@
         self.apply_announcement(server_announcement)
         self.backend.announced_at += valid_s - self._announcement_ttl_s
 
+    def drain_server(self, server: messages.ServerIncarnation) -> None:
+        """Refuse new attempts if this server is still the current one."""
+        announced = self.backend.announcement
+        if (
+            announced is None
+            or announced.incarnation != server
+            or announced.draining
+        ):
+            return
+        self._log.info(
+            'Server says in a response that it is leaving.',
+            instance=server.instance,
+        )
+        self.apply_announcement(
+            msgspec.structs.replace(announced, draining=True)
+        )
+
     def remove_server(self) -> None:
         """Drop the backend server; new attempts are refused."""
         server_announcement = self.backend.announcement
@@ -424,10 +463,10 @@
     async def _exchange_with_server(
         self, job: jobs.Job, conn: backend_client.Connection
     ) -> None:
-        job.server_headers = self.dialect.server_headers(job.instance)
+        job.server_headers = self.dialect.server_headers(job.server.instance)
 
         def check_head(status: int, headers: messages.Headers) -> None:
-            self._check_head(status, headers)
+            self._check_head(job, status, headers)
 
         def load() -> messages.Load | None:
             return self._load_for(job)
@@ -437,10 +476,13 @@
             fingerprint = quarantine.Fingerprint(job.start.fingerprint)
             await self.crash_tracker.report_cleared(fingerprint)
 
-    def _check_head(self, status: int, headers: messages.Headers) -> None:
+    def _check_head(
+        self, job: jobs.Job, status: int, headers: messages.Headers
+    ) -> None:
         """Raise if the response is invalid or the request did not run."""
-        self.record_load_report(self.dialect.load_report_of(headers))
-        self.backend.observe_rate_limit(headers)
+        self._observe_server(job.server, headers)
+        if self.dialect.is_leaving(headers):
+            job.leaving = job.server
         response_kind = self.dialect.classify(status, headers)
         if response_kind in _NOT_RUN_REASONS:
             raise _NotRunError(_NOT_RUN_REASONS[response_kind])
@@ -473,7 +515,7 @@
             id=self._request_id(job.start),
             reason=reason.value,
             fault=exc.fault.value,
-            instance=job.instance,
+            instance=job.server.instance,
             elapsed_ms=round((self._clock() - job.sent_at) * 1000),
         )
         job.end(messages.AttemptFailed, reason, self.load())
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -14,6 +14,7 @@
 
 OUTCOME_HEADER = b'jayflow-outcome'
 RATE_LIMIT_HEADER = b'jayflow-rate-limit'
+LEAVING_HEADER = b'jayflow-leaving'
 SHED_STATUSES = frozenset({429, 503})
 
 
@@ -37,6 +38,10 @@
     return http_headers.rate_limit_of(headers, RATE_LIMIT_HEADER)
 
 
+def _default_is_leaving(headers: messages.Headers) -> bool:
+    return http_headers.value_of(headers, LEAVING_HEADER) == b'1'
+
+
 def _no_load(headers: messages.Headers) -> None:
     del headers
 
@@ -67,6 +72,8 @@
     rate_limit_of: Callable[[messages.Headers], float | None] = (
         _default_rate_limit_of
     )
+    # Whether the server is about to stop and takes no more requests.
+    is_leaving: Callable[[messages.Headers], bool] = _default_is_leaving
 
     def caller_headers(
         self, headers: messages.Headers, caller: str
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -49,7 +49,8 @@
         self.link_budget: link_budget.LinkBudget | None = None
         self.received_at = now
         self.sent_at = now
-        self.instance = ''
+        self.server: messages.ServerIncarnation | None = None
+        self.leaving: messages.ServerIncarnation | None = None
         self.server_headers: messages.Headers = []
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
@@ -133,6 +134,7 @@
             is_complete,
             load(),
             round((self.head_received_at - self.sent_at) * 1000),
+            self.leaving,
         )
         self._credit -= 1
         await self._reply_paced(head)
--- a/jayflow/request/response.py
+++ b/jayflow/request/response.py
@@ -37,6 +37,7 @@
         self.status = head.status
         self.headers = head.headers
         self.service_s = head.service_ms / 1000
+        self.leaving = head.leaving
         self._data = head.data
         self._is_complete = head.last
         self._exchange = exchange
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -82,6 +82,13 @@
             with self.subTest(title):
                 self.assertEqual(expected, headers.rate_limit_of(rows))
 
+    def test_a_leaving_server_is_recognized(self):
+        for value, expected in ((b'1', True), (b'0', False), (b'', False)):
+            with self.subTest(value):
+                rows = [ID, (b'server-leaving', value)]
+                self.assertIs(expected, headers.is_leaving(rows))
+        self.assertFalse(headers.is_leaving([ID]))
+
     def test_a_callers_own_service_header_is_replaced(self):
         rows = [(b'jayflow-caller-service', b'forged'), ID]
         replaced = headers.DIALECT.caller_headers(rows, 'shop')
--- a/tests/process/test_server_registration.py
+++ b/tests/process/test_server_registration.py
@@ -82,7 +82,7 @@
 
 
 SERVER = value_parsers.Address('127.0.0.1', 80)
-DEPARTED = (members.ServerIncarnation('i1', 10),)
+DEPARTED = (messages.ServerIncarnation('i1', 10),)
 # Title, stored record, address of the server, whether it is used at once.
 RESTORED = [
     ('ready', {'services': ('s',), 'slots': 4}, SERVER, True),
@@ -160,7 +160,7 @@
         order = server_registration.AnnouncementOrder()
         order.admit(new_announcement())
         self.assertTrue(
-            order.record_departure(members.ServerIncarnation('i1', 10))
+            order.record_departure(messages.ServerIncarnation('i1', 10))
         )
         self.assertIs(
             AnnounceResult.LEFT, order.admit(new_announcement(sequence=5))
@@ -171,7 +171,7 @@
 
     def test_restored_departures_are_respected(self):
         order = server_registration.AnnouncementOrder()
-        order.departed = (members.ServerIncarnation('i1', 10),)
+        order.departed = (messages.ServerIncarnation('i1', 10),)
         self.assertIs(
             AnnounceResult.LEFT, order.admit(new_announcement(sequence=5))
         )
@@ -181,7 +181,7 @@
         now_ms = 1000
         born = order.start_time_ms('i1', now_ms)
         self.assertFalse(
-            order.record_departure(members.ServerIncarnation('i1', born))
+            order.record_departure(messages.ServerIncarnation('i1', born))
         )
         self.assertIs(
             AnnounceResult.LEFT,
@@ -217,7 +217,7 @@
         order = server_registration.AnnouncementOrder()
         order.admit(new_announcement('i2', born=11))
         self.assertFalse(
-            order.record_departure(members.ServerIncarnation('i1', 10))
+            order.record_departure(messages.ServerIncarnation('i1', 10))
         )
         self.assertIs(
             AnnounceResult.ACCEPTED, order.admit(new_announcement('i2', 11, 2))
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -22,6 +22,7 @@
     'jayflow-not-executed',
     'jayflow-server-load',
     'server-limit',
+    'server-leaving',
     'jayflow-expected-instance',
     'jayflow-caller-service',
     'jayflow-request-id',
