Accept a server's refusal only for the request that it names

Report from another operator: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran (REFUSED), or the request ran at a second server (TWICE). It can happen here: a refusal without a body left its connection open for reuse, a refusal or a 421 needed no request id, and one with the next request's id could not be told apart at all.

A connection that carried a refusal or a broken response is not used again, and where servers echo the id, a refusal without it proves nothing: the outcome is unknown.

--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -455,11 +455,15 @@
         try:
             await self._exchange_with_server(job, conn)
         except _NotRunError as exc:
+            # A faulty server may write the refusal once more, and it would
+            # be taken for the response to the next request.
+            conn.prevent_reuse()
             self._send_refusal(start, exc.reason, job.reply)
             job.is_closed = True
             if exc.reason is Reason.WRONG_INSTANCE:
                 self.remove_server()
         except backend_client.BackendError as exc:
+            conn.prevent_reuse()
             await self._report_failure(job, exc)
         finally:
             job.pool.release(conn)
@@ -489,12 +493,29 @@
             job.leaving = job.server
         response_kind = self.dialect.classify(status, headers)
         if response_kind in _NOT_RUN_REASONS:
-            raise _NotRunError(_NOT_RUN_REASONS[response_kind])
+            if self._names_request(job, headers):
+                raise _NotRunError(_NOT_RUN_REASONS[response_kind])
+            self._log.warning(
+                'Refusal by the server does not name the request.',
+                id=self._request_id(job.start),
+                status=status,
+            )
+            response_kind = header_dialect.ResponseKind.INVALID
         if response_kind is header_dialect.ResponseKind.INVALID:
             raise backend_client.BackendError(
                 backend_client.ConnectionFault.INVALID, sent=True
             )
 
+    def _names_request(self, job: jobs.Job, headers: messages.Headers) -> bool:
+        """Return whether a response names its request, if servers do that.
+
+        The connection has skipped responses that name another one.
+        """
+        return (
+            self.dialect.request_id_of(job.start.headers) is None
+            or self.dialect.request_id_of(headers) is not None
+        )
+
     async def _report_failure(
         self, job: jobs.Job, exc: backend_client.BackendError
     ) -> None:
