Never pass on a 'not run' status that the server does not vouch for

Found while tracing the report of a repeated refusal: on the users' platform a 408, 429 or 503 tells the caller that the request did not run and never will, but a server states that only with its own header. A request that is not idempotent and ended with such a status without the header was answered with it; now its outcome is unknown (502), and an idempotent one is tried again.

--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -10,6 +10,8 @@
 from jayflow.request import headers as http_headers
 
 MISDIRECTED_REQUEST = 421
+# Statuses that promise callers that the request did not run.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # The fourth figure of a load header is the current service time in hundredths
 # of the usual one: 700 means seven times as long.
 SLOWNESS_SCALE = 100
@@ -22,12 +24,15 @@
 
     A response to a request that was run is valid only with a request id
     and without a content encoding; a success also needs the server's
-    signature.
+    signature. A status that promises that the request did not run is
+    invalid unless the server states that as well.
     """
     if status == MISDIRECTED_REQUEST:
         return header_dialect.ResponseKind.WRONG_INSTANCE
     if http_headers.value_of(headers, protocol.NOT_EXECUTED) is not None:
         return header_dialect.ResponseKind.NOT_RUN
+    if status in NOT_RUN_STATUSES:
+        return header_dialect.ResponseKind.INVALID
     if http_headers.value_of(headers, protocol.CONTENT_ENCODING) is not None:
         return header_dialect.ResponseKind.INVALID
     if http_headers.value_of(headers, protocol.REQUEST_ID) is None:
