Refuse requests that a planned stop would cut off

Report from another operator: requests that came late in the grace of a stop were taken, passed on and cut with no answer at its end, among them requests that may not be repeated (LOST). It happens here: a node whose own server still works goes on taking requests on open connections, and at the forced stop a save that a server was running ended with 502 (test_failures, seen failing; the process test waits 4 s).

Once callers have had the leave time, a request is taken only if its deadline and the final answer come before the forced stop, and no bulk transfer at all; others get 'not run' at once, with the connection closed. Before that time all are served, as callers don't know of the stop yet.

Ruled out: refusing from the signal on (callers are sent here for two more seconds) and a shorter deadline for late requests (the server would run what nobody waits for).

--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -151,6 +151,22 @@
         return self.headers.get('jayflow-outcome', 'answered')
 
 
+class KeptConnection:
+    """Send requests one after the other on one connection."""
+
+    def __init__(self, port: int) -> None:
+        self._conn = http.client.HTTPConnection(HOST, port, timeout=10.0)
+
+    def send_request(self, path: str, method: str = 'GET') -> Response:
+        """Send one request; a truncated response raises an error."""
+        self._conn.request(method, path, None, {'Host': CALLER_HOST})
+        return _read_response(self._conn)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._conn.close()
+
+
 def send_request(
     port: int,
     path: str,
@@ -164,14 +180,16 @@
     conn = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
     try:
         conn.request(method, path, body, {'Host': host, **(headers or {})})
-        response = conn.getresponse()
-        data = response.read()
+        return _read_response(conn)
     finally:
         conn.close()
-    response_headers = {
-        name.lower(): value for name, value in response.getheaders()
-    }
-    return Response(response.status, response_headers, data)
+
+
+def _read_response(conn: http.client.HTTPConnection) -> Response:
+    response = conn.getresponse()
+    data = response.read()
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    return Response(response.status, headers, data)
 
 
 class Process:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -49,6 +49,7 @@
 from jayflow.request import idempotency
 from jayflow.request import ingress
 from jayflow.request import outcome
+from jayflow.request import planned_stop
 from jayflow.request import problem
 from jayflow.request import retry
 from jayflow.request import routing
@@ -462,14 +463,16 @@
         ) as signals:
             await anext(signals)
             self._log.info('Node is stopping.', busy=self._executor.in_flight)
+            live = self._live.current
+            forced_after_s = live.stop_limit * (1 - FORCED_STOP_SHARE)
+            self._ingress.planned_stop = planned_stop.PlannedStop.begin(
+                time.monotonic(), live.leave_time, forced_after_s
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
                     self._stop_gracefully, caller_server, tasks.cancel_scope
                 )
-                stop_limit_s = self._live.current.stop_limit
-                with anyio.move_on_after(
-                    stop_limit_s * (1 - FORCED_STOP_SHARE)
-                ):
+                with anyio.move_on_after(forced_after_s):
                     await anext(signals)
                 cut_requests = self._executor.in_flight + len(
                     self._exchange_table
@@ -480,7 +483,6 @@
     async def _stop_gracefully(
         self, caller_server, scope: anyio.CancelScope
     ) -> None:
-        self._ingress.is_stopping = True
         self._executor.stop_accepting()
         with anyio.move_on_after(self._cfg.call_deadline):
             await self._member_writer.reconcile()
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -20,6 +20,7 @@
 from jayflow.request import headers as http_headers
 from jayflow.request import idempotency
 from jayflow.request import outcome
+from jayflow.request import planned_stop
 from jayflow.request import problem
 from jayflow.request import quarantine
 from jayflow.request import response as responses
@@ -56,7 +57,7 @@
         caller: Callable[[], str] = str,
         rng: random.Random | None = None,
     ) -> None:
-        self.is_stopping = False
+        self.planned_stop: planned_stop.PlannedStop | None = None
         self._dialect = dialect
         self._caller_service = caller
         self._splitter = splitting.TrafficSplitter(rng or random.Random())
@@ -66,6 +67,11 @@
         self._metrics = metrics
         self._log = logs.get_logger(logs.Component.INGRESS)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.planned_stop is not None
+
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
         if scope['type'] != 'http':
@@ -226,7 +232,7 @@
         if scope['query_string']:
             target += b'?' + scope['query_string']
         headers = self._dialect.caller_headers(headers, self._caller_service())
-        return caller_request.Request(
+        req = caller_request.Request(
             service=service,
             policy=policy,
             method=scope['method'],
@@ -245,6 +251,12 @@
                 service, scope['method'], target, body.first
             ),
         )
+        return req if self._accepts(req) else _never_sent(Reason.NODE_STOPPING)
+
+    def _accepts(self, req: caller_request.Request) -> bool:
+        return self.planned_stop is None or self.planned_stop.accepts(
+            time.monotonic(), req.deadline, req.lane is messages.Lane.BULK
+        )
 
     def _single_value_headers(self) -> tuple[bytes, ...]:
         """Return the names of the headers that must not be repeated."""
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -13,6 +13,8 @@
 
 PAIRS = 4
 SLOW_MS = 300
+STOP_LIMIT_S = 6
+DOWNLOADS = 6
 CRASH_CASES = [
     ('read', 'GET', 'lookup', 'crash=1'),
     ('save', 'POST', 'lists', 'crash=1'),
@@ -127,6 +129,39 @@
             self.assertEqual(0, cluster.servers[0].process.wait())
             self.assertEqual(0, cluster.nodes[0].process.wait())
 
+    def test_a_late_request_was_cut_at_the_end_of_a_planned_stop(self):
+        with local_cluster.LocalCluster.open() as cluster:
+            for _ in range(2):
+                node = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
+                cluster.start_server(node, 'packs,lists')
+            cluster.publish()
+            cluster.wait_for_members(2)
+            stopping, other = cluster.nodes
+            kept = local_cluster.KeptConnection(stopping.http_port)
+            self.addCleanup(kept.close)
+            self.assertEqual(200, kept.send_request('/lists/first').status)
+            with concurrent.futures.ThreadPoolExecutor(DOWNLOADS) as pool:
+                # The node waits for those that run on its own server.
+                downloads = [
+                    pool.submit(
+                        local_cluster.send_request,
+                        other.http_port,
+                        f'/packs/{number}?ms=5000',
+                    )
+                    for number in range(DOWNLOADS)
+                ]
+                time.sleep(0.3)
+                stopping.process.signal(signal.SIGTERM)
+                time.sleep(3.8)
+                late = kept.send_request('/lists/late?ms=1900', 'POST')
+                statuses = {fut.result().status for fut in downloads}
+            self.assertEqual(0, stopping.process.wait())
+            runs = [run for server in cluster.servers for run in server.runs()]
+        self.assertEqual({200}, statuses)
+        self.assertEqual((503, 'not-run'), (late.status, late.outcome))
+        self.assertEqual('close', late.headers['connection'])
+        self.assertNotIn('/lists/late', {run['path'] for run in runs})
+
 
 class CutTest(unittest.TestCase):
     def test_a_cut_download_resumes_from_another_server(self):
