Use an idle connection only within the time-out that the server states

With a stated time-out below 4 s (1 s for requests that are not idempotent) a request could be sent on a connection that the server had just closed, and end unknown.

Test: test_backend_client, table of headers; there was no code to read them.

--- a/jayflow/connection/backend_client.py
+++ b/jayflow/connection/backend_client.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import AsyncIterator
 import enum
+import math
+import re
 import time
 from typing import Protocol, Self
 
@@ -24,6 +26,12 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_S = 4.0
 MAX_IDLE_NOT_IDEMPOTENT_S = 1.0
+# A server closes an idle connection after the time-out that it states; a
+# request sent this much earlier still reaches it.
+IDLE_MARGIN_S = 0.5
+_KEEP_ALIVE_TIMEOUT = re.compile(
+    rb'(?:^|[,;\s])timeout=([0-9]{1,6})(?![^,;\s])'
+)
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 NO_CONTENT = 204
@@ -71,6 +79,7 @@
         self._fault: ConnectionFault | None = None
         self._is_busy = False
         self._is_reading_paused = False
+        self._idle_timeout_s = math.inf
         self._reset('')
         self.idle_since = time.monotonic()
 
@@ -104,6 +113,16 @@
             and not self._transport.is_closing()
         )
 
+    def max_idle_s(self, is_idempotent: bool) -> float:
+        """Return how long the connection may be idle before a request.
+
+        A server may close an idle connection while a request is on its way.
+        A request that is not idempotent therefore only gets a connection
+        that was idle for a shorter time.
+        """
+        max_idle_s = MAX_IDLE_S if is_idempotent else MAX_IDLE_NOT_IDEMPOTENT_S
+        return min(max_idle_s, max(0.0, self._idle_timeout_s - IDLE_MARGIN_S))
+
     @property
     def sent(self) -> bool:
         """Return whether any byte of the current request was written."""
@@ -278,6 +297,7 @@
             self._is_skipping_response = True
             return
         self.status = status
+        self._observe_keep_alive()
         if self._method == 'HEAD':
             self._finish()
         elif not self._is_framed(status):
@@ -286,6 +306,14 @@
                 self._fail(ConnectionFault.UNFRAMED)
         self._changed.set()
 
+    def _observe_keep_alive(self) -> None:
+        """Record after which idle time the server closes the connection."""
+        for name, value in self.headers:
+            if name == b'keep-alive':
+                found = _KEEP_ALIVE_TIMEOUT.search(value)
+                if found:
+                    self._idle_timeout_s = float(found[1])
+
     def _is_stale_response(self) -> bool:
         """Return whether a response belongs to an earlier request."""
         response_id = self._rules.request_id_of(self.headers)
@@ -356,16 +384,13 @@
     async def acquire(self, is_idempotent: bool) -> Connection:
         """Return an idle connection or a new one.
 
-        A server may close an idle connection while a request is on its
-        way. A request that is not idempotent therefore only gets a
-        connection that was idle for a shorter time. Raises BackendError if
-        no connection can be made.
+        Raises BackendError if no connection can be made.
         """
-        max_idle_s = MAX_IDLE_S if is_idempotent else MAX_IDLE_NOT_IDEMPOTENT_S
         now = time.monotonic()
         while self._idle:
             conn = self._idle.pop()
-            if conn.is_reusable and now - conn.idle_since < max_idle_s:
+            idle_s = now - conn.idle_since
+            if conn.is_reusable and idle_s < conn.max_idle_s(is_idempotent):
                 return conn
             conn.close()
         return await self.open()
--- a/tests/connection/test_backend_client.py
+++ b/tests/connection/test_backend_client.py
@@ -81,6 +81,17 @@
     ),
 ]
 
+# Title, header of the response, and how long the connection may be idle before
+# a request that is idempotent and one that is not.
+KEEP_ALIVE_CASES = [
+    ('no time-out', b'', [4.0, 1.0]),
+    ('long', b'Keep-Alive: timeout=10\r\n', [4.0, 1.0]),
+    ('short', b'Keep-Alive: timeout=2, max=9\r\n', [1.5, 1.0]),
+    ('one second', b'keep-alive: max=9,timeout=1\r\n', [0.5, 0.5]),
+    ('zero', b'Keep-Alive: timeout=0\r\n', [0.0, 0.0]),
+    ('malformed', b'Keep-Alive: timeout=x\r\n', [4.0, 1.0]),
+]
+
 
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def serve(self, pieces, is_reset):
@@ -135,6 +146,22 @@
                 conn.close()
         await asyncio.sleep(KEEP_OPEN_S)
 
+    async def test_a_connection_was_used_when_the_server_had_closed_it(self):
+        for title, header, expected in KEEP_ALIVE_CASES:
+            with self.subTest(title):
+                answer = response(b'1', b'ok').replace(
+                    b'\r\n\r\n', b'\r\n%b\r\n' % header, 1
+                )
+                port = await self.serve([answer], False)
+                _, conn = await self.request(port)
+                max_idle_s = [
+                    conn.max_idle_s(is_idempotent)
+                    for is_idempotent in (True, False)
+                ]
+                self.assertEqual(expected, max_idle_s)
+                conn.close()
+        await asyncio.sleep(2 * KEEP_OPEN_S)
+
     async def test_failed_connect_raises_backend_error(self):
         with self.assertRaises(backend_client.BackendError):
             await backend_client.Connection.open(HOST, 1, headers.DIALECT)
