End a server's rate limit only by a valid response

What callers could see: nothing; a server that names a limit got up to four times its allowance (LIMIT) if some of its responses were faulty at the same time. Cause: a limit ended with the first response that did not name it, also with one that the node itself rejects, and the requests that waited started at once; the next response set the limit with a new burst.

Now a limit ends with a valid response only. Likewise only a valid response marks a server as leaving, as that holds until its process ends. A faulty response that names a limit is still heeded: that is revoked by the next one.

--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -117,17 +117,17 @@
         return self._slowdowns.slowness != old_slowness
 
     def observe_rate_limit(
-        self, headers: messages.Headers, is_poll: bool = False
+        self, headers: messages.Headers, may_end_limit: bool
     ) -> None:
         """Record the rate limit that a response names, if any.
 
-        Only the response to a request ends a limit.
+        A limit that is still in force may be missing from a faulty response.
         """
         requests_per_s = self._dialect.rate_limit_of(headers)
         if requests_per_s is None:
             self._log.warning('Server names a malformed rate limit.')
             return
-        if is_poll and math.isinf(requests_per_s):
+        if math.isinf(requests_per_s) and not may_end_limit:
             return
         if self.rate_limit.update(requests_per_s, self._clock()):
             self._log.info(
@@ -135,7 +135,6 @@
                 requests_per_s=None
                 if math.isinf(requests_per_s)
                 else requests_per_s,
-                is_poll=is_poll,
             )
 
     def report_rate_limit(self) -> None:
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -152,22 +152,24 @@
         announced = self.backend.announcement
         headers = await self.backend.poll(path)
         if announced is not None:
-            self._observe_server(announced.incarnation, headers, is_poll=True)
+            self._observe_server(
+                announced.incarnation, headers, may_end_limit=False
+            )
+            if self.dialect.is_leaving(headers):
+                self.on_server_leaving(announced.incarnation)
 
     def _observe_server(
         self,
         server: messages.ServerIncarnation,
         headers: messages.Headers,
-        is_poll: bool = False,
+        may_end_limit: bool,
     ) -> None:
-        """Record what a server says of itself in a response."""
+        """Record the load and the rate limit that a response names."""
         announced = self.backend.announcement
         if announced is None or announced.incarnation != server:
             return
         self.record_load_report(self.dialect.load_report_of(headers))
-        self.backend.observe_rate_limit(headers, is_poll)
-        if self.dialect.is_leaving(headers):
-            self.on_server_leaving(server)
+        self.backend.observe_rate_limit(headers, may_end_limit)
         if not self.backend.has_responded:
             self.backend.has_responded = True
             self._resize()
@@ -488,24 +490,35 @@
         self, job: jobs.Job, status: int, headers: messages.Headers
     ) -> None:
         """Raise if the response is invalid or the request did not run."""
-        self._observe_server(job.server, headers)
-        if self.dialect.is_leaving(headers):
+        response_kind = self._classify(job, status, headers)
+        is_valid = response_kind is not header_dialect.ResponseKind.INVALID
+        self._observe_server(job.server, headers, may_end_limit=is_valid)
+        if is_valid and self.dialect.is_leaving(headers):
             job.leaving = job.server
-        response_kind = self.dialect.classify(status, headers)
+            self.on_server_leaving(job.server)
         if response_kind in _NOT_RUN_REASONS:
-            if self._names_request(job, headers):
-                raise _NotRunError(_NOT_RUN_REASONS[response_kind])
-            self._log.warning(
-                'Refusal by the server does not name the request.',
-                id=self._request_id(job.start),
-                status=status,
-            )
-            response_kind = header_dialect.ResponseKind.INVALID
-        if response_kind is header_dialect.ResponseKind.INVALID:
+            raise _NotRunError(_NOT_RUN_REASONS[response_kind])
+        if not is_valid:
             raise backend_client.BackendError(
                 backend_client.ConnectionFault.INVALID, sent=True
             )
 
+    def _classify(
+        self, job: jobs.Job, status: int, headers: messages.Headers
+    ) -> header_dialect.ResponseKind:
+        """Return the kind of a response; a refusal must name its request."""
+        response_kind = self.dialect.classify(status, headers)
+        if response_kind not in _NOT_RUN_REASONS or self._names_request(
+            job, headers
+        ):
+            return response_kind
+        self._log.warning(
+            'Refusal by the server does not name the request.',
+            id=self._request_id(job.start),
+            status=status,
+        )
+        return header_dialect.ResponseKind.INVALID
+
     def _names_request(self, job: jobs.Job, headers: messages.Headers) -> bool:
         """Return whether a response names its request, if servers do that.
 
--- a/tests/request/test_rate_limit.py
+++ b/tests/request/test_rate_limit.py
@@ -3,10 +3,13 @@
 import asyncio
 import bisect
 import itertools
+import math
 
 from jayflow.connection import announcement
 from jayflow import metrics as metrics_module
+from jayflow.platform import headers as platform_headers
 from jayflow.request import executor as executors
+from jayflow.request import header_dialect
 from tests.request import test_executor
 from tests import virtual_time
 
@@ -28,6 +31,18 @@
     ('above what is offered', 100.0, 2.0, 14.0, range(650, 721)),
     ('none', 0.0, 2.0, 14.0, range(3, 20)),
 ]
+# Title, and the head of every fourth response; it names no limit.
+FAULTY_HEADS = [
+    ('no signature', b'200 OK\r\njayflow-request-id: 1\r\n'),
+    ('no request id', b'200 OK\r\njayflow-server-signature: s\r\n'),
+    ('refusal without id', b'503 Full\r\njayflow-not-executed: 1\r\n'),
+    ('status without refusal', b'503 Full\r\njayflow-request-id: 1\r\n'),
+    ('no response', b'oops\r\n'),
+]
+FAULTY_INTERVAL = 4
+ANNOUNCEMENT = announcement.Announcement(
+    'i1', ('lookups',), '127.0.0.1', PORT, 18
+)
 
 
 class LimitedServer:
@@ -35,6 +50,8 @@
 
     def __init__(self, clock, limit: float, begins: float, ends: float):
         self.arrivals: list[float] = []
+        # The head of every FAULTY_INTERVAL-th response, if any.
+        self.faulty_head = b''
         self._clock = clock
         self._limit = limit
         self._begins = begins
@@ -52,10 +69,16 @@
             writer.close()
 
     def _response(self, now: float) -> bytes:
-        limit = b''
+        head = (
+            b'200 OK\r\njayflow-server-signature: s\r\n'
+            b'jayflow-request-id: 1\r\n'
+        )
         if self._begins <= now < self._ends:
-            limit = b'jayflow-rate-limit: %.1f\r\n' % self._limit
-        return b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n%b\r\nok' % limit
+            head += b'jayflow-rate-limit: %.1f\r\n' % self._limit
+            head += b'server-limit: %.1f\r\n' % self._limit
+        if self.faulty_head and not len(self.arrivals) % FAULTY_INTERVAL:
+            head = self.faulty_head
+        return b'HTTP/1.1 %bcontent-length: 2\r\n\r\nok' % head
 
     def most_in_window(self, since: float, until: float) -> int:
         """Return the most arrivals in any window between two times."""
@@ -70,7 +93,16 @@
 
 
 class RateLimitTest(virtual_time.VirtualTimeTestCase):
-    def offer(self, limit, begins, ends, spans=((0.0, DURATION_S, 0),)):
+    def offer(
+        self,
+        limit,
+        begins,
+        ends,
+        spans=((0.0, DURATION_S, 0),),
+        dialect=header_dialect.DEFAULT_DIALECT,
+        faulty_head=b'',
+        reannounced_after_s=math.inf,
+    ):
         """Offer requests to a server with a limit; return the server.
 
         In each span, from a time until another, a new executor runs, and
@@ -79,35 +111,44 @@
 
         async def main(loop):
             server = LimitedServer(loop.time, limit, begins, ends)
+            server.faulty_head = faulty_head
             loop.serve_port(PORT, server.serve)
             for starts, stops, at_once in spans:
                 await asyncio.sleep(starts - loop.time())
-                await self._run_executor(loop, stops, at_once)
+                executor = executors.Executor(
+                    test_executor.INCARNATION,
+                    metrics_module.Metrics(),
+                    loop.time,
+                    dialect,
+                    announcement_ttl_s=DURATION_S + 1,
+                )
+                await self._run_executor(
+                    loop, executor, stops, at_once, reannounced_after_s
+                )
             return server
 
         return self.run_virtual(main)
 
-    async def _run_executor(self, loop, until, at_once):
-        executor = executors.Executor(
-            test_executor.INCARNATION,
-            metrics_module.Metrics(),
-            loop.time,
-            announcement_ttl_s=DURATION_S + 1,
-        )
-        executor.apply_announcement(
-            announcement.Announcement(
-                'i1', ('lookups',), '127.0.0.1', PORT, 18
-            )
-        )
+    async def _run_executor(
+        self, loop, executor, until, at_once, reannounced_after_s
+    ):
+        executor.apply_announcement(ANNOUNCEMENT)
+        reannounced_at = loop.time() + reannounced_after_s
         running = asyncio.create_task(executor.run())
         sequences = itertools.count(1)
         count = at_once or 1
         while loop.time() < until:
+            if loop.time() >= reannounced_at:
+                executor.remove_server()
+                executor.apply_announcement(ANNOUNCEMENT)
+                reannounced_at += reannounced_after_s
             for sequence in itertools.islice(sequences, count):
-                executor.handle(
-                    test_executor.start(sequence, max_queue_length=40),
-                    lambda reply: None,
+                start = test_executor.start(
+                    sequence,
+                    max_queue_length=40,
+                    headers=[(b'host', b'x'), (b'jayflow-request-id', b'1')],
                 )
+                executor.handle(start, lambda reply: None)
             count = 1
             await asyncio.sleep(1 / OFFERED_PER_S)
         running.cancel()
@@ -137,3 +178,19 @@
         self.assertLessEqual(
             server.most_in_window(2.0 + STABLE_WINDOW_S, DURATION_S), allowed
         )
+
+    def test_a_faulty_response_ended_a_limit_that_was_still_in_force(self):
+        limit = 5.0
+        for title, head in FAULTY_HEADS:
+            with self.subTest(title):
+                server = self.offer(
+                    limit,
+                    2.0,
+                    DURATION_S,
+                    dialect=platform_headers.DIALECT,
+                    faulty_head=head,
+                )
+                self.assertLessEqual(
+                    server.most_in_window(2.0 + STABLE_WINDOW_S, DURATION_S),
+                    MAX_RATIO * limit * WINDOW_S + MAX_EXTRA,
+                )
