Keep what a server said of itself while its announcement is missing

What callers could see: nothing; a server got 42 requests in 4 s for 17 allowed (LIMIT). Cause: the rate limit was kept as long as the announcement, not as long as the server's process. A node drops the announcement when a connection is refused, another instance responds or heartbeats are late, and with the next announcement of the same process, up to once a heartbeat, four requests and a burst started again.

The limit and the first response now belong to the incarnation of the server. Looked for elsewhere: slowness, the adaptive slots, departures and draining were kept already.

Test: test_a_server_that_was_announced_anew_had_no_limit, failed before.

--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -42,6 +42,9 @@
     ) -> None:
         self.announcement: announcement.Announcement | None = None
         self.announced_at = 0.0
+        # What is known of a server holds until another process replaces it,
+        # also while its announcement is missing.
+        self._incarnation: messages.ServerIncarnation | None = None
         # Kept after the server is gone: a crash is reported to other nodes
         # that serve the same services.
         self.services: tuple[objects.ServiceName, ...] = ()
@@ -86,13 +89,15 @@
         previous, now = self.announcement, self._clock()
         self.announcement, self.announced_at = server_announcement, now
         self.services = server_announcement.services
+        if self._incarnation != server_announcement.incarnation:
+            self._incarnation = server_announcement.incarnation
+            self.rate_limit = rate_limit.RateLimit()
+            self.has_responded = False
         if (
             previous is None
             or previous.incarnation != server_announcement.incarnation
         ):
             self._cold_start_until = now + server_announcement.cold_start_s
-            self.rate_limit = rate_limit.RateLimit()
-            self.has_responded = False
             self._log.info(
                 'Server announced itself.',
                 instance=server_announcement.instance,
--- a/tests/request/test_rate_limit.py
+++ b/tests/request/test_rate_limit.py
@@ -194,3 +194,11 @@
                     server.most_in_window(2.0 + STABLE_WINDOW_S, DURATION_S),
                     MAX_RATIO * limit * WINDOW_S + MAX_EXTRA,
                 )
+
+    def test_a_server_that_was_announced_anew_had_no_limit(self):
+        limit = 2.0
+        server = self.offer(limit, 2.0, DURATION_S, reannounced_after_s=0.7)
+        self.assertLessEqual(
+            server.most_in_window(2.0 + STABLE_WINDOW_S, DURATION_S),
+            MAX_RATIO * limit * WINDOW_S + MAX_EXTRA,
+        )
