Remember a leaving server only if it states its start time

What callers could see: a backend server on the native interface that states no start time, said in a response that it leaves and was started again under its name was never used again by the nodes that had passed on that response. Cause: senders remember a leaving server by name and start time, and without one its successor is the same server. Found by reading.

Now only servers with a start time are remembered; the others are drained by their own node until they announce themselves again.

Test: test_a_restarted_server_without_a_start_time_was_never_used_again, failed before.

--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -182,8 +182,11 @@
     def mark_leaving(self, server: messages.ServerIncarnation) -> None:
         """Use a server no more that said in a response that it is leaving.
 
-        Its own node may forget that when it restarts.
+        Its own node may forget that when it restarts. A server that states
+        no start time can't be told from its successor and is not recorded.
         """
+        if not server.born:
+            return
         self._leaving[server] = None
         if len(self._leaving) > MAX_LEAVING_SERVERS:
             del self._leaving[next(iter(self._leaving))]
--- a/tests/process/test_leaving_server.py
+++ b/tests/process/test_leaving_server.py
@@ -124,3 +124,14 @@
                 self.assertEqual(
                     expected, [view.member.node for view in candidates]
                 )
+
+    def test_a_restarted_server_without_a_start_time_was_never_used_again(
+        self,
+    ):
+        directory = member_directory.MemberDirectory('me', 'a')
+        directory.put(
+            test_member_directory.member('n1', 'a', instance='i1', born=0)
+        )
+        directory.mark_leaving(messages.ServerIncarnation('i1', 0))
+        views = directory.candidates(SERVICE)
+        self.assertEqual(['n1'], [view.member.node for view in views])
