Let peers read the last replies before a stopped node closes its sockets

What callers saw: 504 "unknown" for a request that a server had run to its end, as the node beside that server had a planned stop and the caller's node was busy or paused for 0.4 s at that moment. Cause: the node closed its sockets at once when its last request ended. Unsent replies are discarded, and a peer's socket also discards what it has received but not read when the connection closes (IMMEDIATE).

If requests still run when callers have left, the node now waits half a second after the last one ended.

--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -63,6 +63,9 @@
 # A forced stop begins when this share of the stop limit is left, so that a
 # node with little processor time ends before it is killed.
 FORCED_STOP_SHARE = 0.1
+# Time for peers to read the last replies: a peer's socket discards what it
+# has not read once the connection is closed.
+REPLY_DELIVERY_S = 0.5
 
 
 class _LocalChannel:
@@ -488,7 +491,9 @@
             await self._member_writer.reconcile()
             await self._link_budgets.release_seats()
         await anyio.sleep(self._live.current.leave_time)
-        await self._executor.wait_idle()
+        if self._executor.in_flight:
+            await self._executor.wait_idle()
+            await anyio.sleep(REPLY_DELIVERY_S)
         caller_server.should_exit = True
         while caller_server.server_state.connections or len(
             self._exchange_table
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -14,6 +14,7 @@
 PAIRS = 4
 SLOW_MS = 300
 STOP_LIMIT_S = 6
+PAUSE_S = 0.4
 DOWNLOADS = 6
 CRASH_CASES = [
     ('read', 'GET', 'lookup', 'crash=1'),
@@ -162,6 +163,30 @@
         self.assertEqual('close', late.headers['connection'])
         self.assertNotIn('/lists/late', {run['path'] for run in runs})
 
+    def test_a_response_was_lost_as_its_node_stopped_and_the_other_was_busy(
+        self,
+    ):
+        with local_cluster.LocalCluster.open() as cluster:
+            busy = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
+            stopping = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
+            cluster.start_server(stopping, 'packs')
+            cluster.publish()
+            cluster.wait_for_servers(1)
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                response = pool.submit(
+                    local_cluster.send_request,
+                    busy.http_port,
+                    '/packs/x?ms=2000',
+                )
+                time.sleep(0.3)
+                stopping.process.signal(signal.SIGTERM)
+                time.sleep(1.5)
+                busy.process.signal(signal.SIGSTOP)
+                time.sleep(PAUSE_S)
+                busy.process.signal(signal.SIGCONT)
+                self.assertEqual(200, response.result().status)
+            self.assertEqual(0, stopping.process.wait())
+
 
 class CutTest(unittest.TestCase):
     def test_a_cut_download_resumes_from_another_server(self):
