Close the connection of a refused poll

A connection on which a poll was not answered with 200 is not used again.

Test: test_the_refusal_of_a_poll_was_taken_for_that_of_a_request, native failed before.

--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -26,6 +26,7 @@
 # server limits them. A node that restarts does not know what its last process
 # was told.
 INITIAL_CONCURRENCY = 4
+OK_STATUS = 200
 
 
 class BackendServer:
@@ -198,7 +199,11 @@
             host = f'{pool.host}:{pool.port}'.encode()
             self.rate_limit.counts.polls += 1
             conn.write_head('GET', path.encode(), [(b'host', host)], b'')
-            await conn.read_head()
+            status = await conn.read_head()
+            if status != OK_STATUS:
+                # A faulty server may write a refusal once more, and it would
+                # be taken for the response to the next request.
+                conn.prevent_reuse()
             async for _ in conn.iter_parts():
                 pass
             return conn.headers
--- a/tests/request/test_repeated_refusal.py
+++ b/tests/request/test_repeated_refusal.py
@@ -37,6 +37,7 @@
     ('other status', PLATFORM, b'200 OK\r\n', MISDIRECTED),
     ('without a refusal before', PLATFORM, b'200 OK\r\n', FULL),
 ]
+POLL_CASES = [('native', NATIVE, SHED), ('platform', PLATFORM, FULL)]
 ANSWER = b'200 OK\r\njayflow-server-signature: s\r\njayflow-request-id: %d\r\n'
 
 
@@ -45,8 +46,11 @@
 
 
 class RepeatedRefusalTest(virtual_time.VirtualTimeTestCase):
-    def run_case(self, dialect, refusal, repeated):
-        """Return the ids of the requests that ran and the last reply."""
+    def run_case(self, dialect, refusal, repeated, is_polled=False):
+        """Return the ids of the requests that ran and the last reply.
+
+        The first request may be a poll of the server's load.
+        """
         runs = []
 
         async def serve(reader, writer):
@@ -86,7 +90,9 @@
                 )
             )
             replies = []
-            for number in (1, 2):
+            if is_polled:
+                await executor.poll_load('/1')
+            for number in (2,) if is_polled else (1, 2):
                 request_headers = [
                     (b'host', b'x'),
                     (b'jayflow-request-id', b'%d' % number),
@@ -111,3 +117,10 @@
                 runs, reply = self.run_case(dialect, refusal, repeated)
                 self.assertEqual([2], runs)
                 self.assertNotIsInstance(reply, messages.Refused)
+
+    def test_the_refusal_of_a_poll_was_taken_for_that_of_a_request(self):
+        for title, dialect, refusal in POLL_CASES:
+            with self.subTest(title):
+                runs, reply = self.run_case(dialect, refusal, refusal, True)
+                self.assertEqual([2], runs)
+                self.assertNotIsInstance(reply, messages.Refused)
