--- a/jayflow/cli.py
+++ b/jayflow/cli.py
@@ -170,6 +170,12 @@
         type=_argument_type(value_parsers.seconds),
         default=600.0,
     )
+    cmd.add_argument(
+        '--rate-limit',
+        type=_argument_type(value_parsers.non_negative_number),
+        metavar='REQUESTS_PER_S',
+        help='limit that the server names in its responses (default: none)',
+    )
     cmd.add_argument(
         '--run-log',
         type=pathlib.Path,
--- a/jayflow/commands/stand_in.py
+++ b/jayflow/commands/stand_in.py
@@ -36,6 +36,7 @@
         jitter=args.jitter,
         cold_start_s=args.cold_start,
         drain_timeout_s=args.drain_limit,
+        rate_limit=args.rate_limit,
         run_log=args.run_log,
     )
     event_loop.run(
--- a/jayflow/emulator/sample_backend.py
+++ b/jayflow/emulator/sample_backend.py
@@ -1,9 +1,9 @@
 """Run a sample backend server for the demo, the bench and the tests.
 
 The server announces itself to its node, rejects requests when all its
-slots are in use, announces a cold start, and drains before it stops. It
-records every request that it runs, so that a test can compare the
-outcomes that callers saw with what was executed.
+slots are in use, announces a cold start, may name a rate limit, and drains
+before it stops. It records every request that it runs, so that a test can
+compare the outcomes that callers saw with what was executed.
 """
 
 import collections
@@ -24,7 +24,9 @@
 
 from jayflow.connection import announcement
 from jayflow.connection import http_server
+from jayflow.connection import messages
 from jayflow import logs
+from jayflow.request import header_dialect
 from jayflow.version import objects
 from jayflow.version import value_parsers
 
@@ -58,6 +60,8 @@
     jitter: float
     cold_start_s: float
     drain_timeout_s: float
+    # Requests per second that the server says it takes, None for no limit.
+    rate_limit: float | None = None
     run_log: pathlib.Path | None = None
 
 
@@ -165,6 +169,7 @@
             os._exit(1)
         await anyio.sleep(self._service_time_s(query))
         response_headers = [
+            *self._statements(),
             (b'x-server', self.instance.encode()),
             (b'x-body-sha256', digest.encode()),
             (b'x-body-length', str(length).encode()),
@@ -186,6 +191,16 @@
         )
         self.runs[index] = msgspec.structs.replace(run, done=True)
 
+    def _statements(self) -> messages.Headers:
+        """Return the headers in which the server describes its state."""
+        statements = []
+        if self._options.rate_limit is not None:
+            limit = f'{self._options.rate_limit:f}'.encode()
+            statements.append((header_dialect.RATE_LIMIT_HEADER, limit))
+        if self.is_draining:
+            statements.append((header_dialect.LEAVING_HEADER, b'1'))
+        return statements
+
     def _write_run(self, run: Run) -> None:
         """Append a record to the run log.
 
--- a/tests/request/test_rate_limit.py
+++ b/tests/request/test_rate_limit.py
@@ -92,16 +92,22 @@
 
     def most_in_window(self, since: float, until: float) -> int:
         """Return the most arrivals in any window between two times."""
-        times = [at for at in self.arrivals if since <= at <= until]
-        return max(
-            (
-                bisect.bisect_right(times, first + WINDOW_S) - index
-                for index, first in enumerate(times)
-            ),
-            default=0,
+        return most_in_window(
+            [at for at in self.arrivals if since <= at <= until]
         )
 
 
+def most_in_window(times: list[float]) -> int:
+    """Return the most of these sorted times in any window of WINDOW_S."""
+    return max(
+        (
+            bisect.bisect_right(times, first + WINDOW_S) - index
+            for index, first in enumerate(times)
+        ),
+        default=0,
+    )
+
+
 class RateLimitTest(virtual_time.VirtualTimeTestCase):
     def offer(
         self,
