Release the slot of a transfer whose sender was killed

What callers could see: refusals and longer queues, as a server lost one slot for 30 s for each large response that a killed node was passing on; and a server's planned stop, or its node's, that did not end in that time. Cause: a killed sender neither grants credit nor cancels, and the executor waited for the stall time-out; a reply to a peer that is not connected was counted and dropped.

A response that can't be sent to its sender now ends the attempt. A transfer without progress for a second sends an empty part, with a number that every receiver ignores, also in nodes without this change; if the sender is not connected, the attempt ends.

--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -30,6 +30,8 @@
 from jayflow.version import objects
 
 Reason = outcome.Reason
+# The job that sends these ends if its sender is gone.
+_RESPONSE_MESSAGES = (messages.ResponseHead, messages.ResponsePart)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,6 +95,8 @@
                 self._send_reply(peer, peer_reply, budget)
             except sockets.NotSentError:
                 self._metrics.count_event(metrics_module.Event.REPLY_DROPPED)
+                if isinstance(peer_reply, _RESPONSE_MESSAGES):
+                    raise
 
         match message:
             case messages.Subscribe():
@@ -194,9 +198,7 @@
         them has already waited for the budget. Over a link, the other
         replies are sent without the load.
         """
-        is_paced = isinstance(
-            peer_reply, messages.ResponseHead | messages.ResponsePart
-        )
+        is_paced = isinstance(peer_reply, _RESPONSE_MESSAGES)
         if budget is not None and not is_paced:
             if not isinstance(peer_reply, messages.Credit):
                 peer_reply.load = None
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -17,6 +17,7 @@
 from jayflow.connection import backend_client
 from jayflow.connection import link_budget
 from jayflow.connection import messages
+from jayflow.connection import sockets
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.request import admission
@@ -467,6 +468,10 @@
         except backend_client.BackendError as exc:
             conn.prevent_reuse()
             await self._report_failure(job, exc)
+        except sockets.NotSentError:
+            job.end(
+                messages.AttemptFailed, Reason.PEER_UNREACHABLE, self.load()
+            )
         finally:
             job.pool.release(conn)
 
@@ -620,6 +625,8 @@
         for job in list(self._jobs.values()):
             if job.is_overdue(now):
                 job.cancel(Reason.DEADLINE)
+            else:
+                job.probe_sender(now)
         self._attempt_registry.expire(now)
         self.crash_tracker.quarantine.expire(now)
         self.backend.report_rate_limit()
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -14,9 +14,15 @@
 from jayflow.connection import backend_client
 from jayflow.connection import link_budget
 from jayflow.connection import messages
+from jayflow.connection import sockets
 from jayflow.request import outcome
 
 STALL_TIMEOUT_S = 30.0
+# Pause in a transfer after which the job checks whether its sender is gone.
+PROBE_AFTER_S = 1.0
+# Parts of a response are numbered from 1; receivers ignore a number that they
+# have had already.
+PROBE_SEQ = 0
 DEADLINE_HEADER = b'jayflow-deadline-ms'
 
 
@@ -54,6 +60,7 @@
         self.server_headers: messages.Headers = []
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
+        self._probed_at = now
         self._credit = messages.FLOW_WINDOW_PARTS
         self._body: collections.deque[messages.RequestPart] = (
             collections.deque()
@@ -67,6 +74,30 @@
             return now > self._deadline
         return now > self._progress_at + STALL_TIMEOUT_S
 
+    def probe_sender(self, now: float) -> None:
+        """Cancel a stalled transfer if its sender is not connected any more.
+
+        A sender whose process was killed neither grants credit nor cancels.
+        """
+        if (
+            self.head_received_at is None
+            or now < max(self._progress_at, self._probed_at) + PROBE_AFTER_S
+        ):
+            return
+        self._probed_at = now
+        if (
+            self.link_budget is not None
+            and not self.link_budget.try_spend_measuring(now)
+        ):
+            return
+        probe = messages.ResponsePart(
+            self.start.attempt, PROBE_SEQ, b'', last=False
+        )
+        try:
+            self.reply(probe)
+        except sockets.NotSentError:
+            self.cancel(outcome.Reason.PEER_UNREACHABLE)
+
     def cancel(self, reason: outcome.Reason) -> None:
         """Cancel the attempt; the connection to the server is closed."""
         if self.cancelled is not None or self.task is None:
@@ -108,7 +139,7 @@
         """Send the request to the server and the response to the sender.
 
         An exception that check_head raises ends the exchange before any of
-        the response is forwarded.
+        the response is forwarded. Raises NotSentError if the sender is gone.
         """
         start = self.start
         self.sent_at = time.monotonic()
