Add a soak of overlapping planned stops and faults

In the first part all work is planned (nodes, servers or both are stopped and started, settings are read again, in two series at a time), and no request may be cut off or end unknown. In the second part the faults of `bench outcomes` come in two series.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     'overload': 'goodput, retries and noisy neighbours, virtual time',
     'fleet': 'cost of a node as the fleet grows',
     'measuring': 'bytes over a link in a surge, against its budgets',
+    'soak': 'planned stops and faults in overlapping series',
     'sizes': 'size of the state per service, member, attempt and key',
     'hop': 'latency that two nodes add to a request',
 }
--- a/bench/history.py
+++ b/bench/history.py
@@ -130,6 +130,25 @@
     ]
 
 
+def check_nothing_cut(history: History) -> list[str]:
+    """Return the requests that a planned stop cut off.
+
+    A request that crosses the close of an idle connection and does not run
+    is not cut off.
+    """
+    run_marks = {run.mark for run in history.runs}
+    return [
+        f'{request.mark} ended {request.caller_outcome.value}'
+        f' {request.status} {request.reason}'
+        for request in history.requests
+        if request.caller_outcome is CallerOutcome.UNKNOWN
+        or (
+            request.caller_outcome is CallerOutcome.CUT
+            and request.mark in run_marks
+        )
+    ]
+
+
 def check_all_answered(history: History) -> list[str]:
     """Return the requests that failed.
 
--- a/bench/load_generator.py
+++ b/bench/load_generator.py
@@ -26,7 +26,9 @@
 class LoadGenerator:
     """Send a mix of lookups, saves and downloads until stopped.
 
-    Each thread waits pause_s on average between two requests.
+    Each thread waits pause_s on average between two requests. With
+    keeps_connections it uses an open connection until the node closes it,
+    also while the node stops.
     """
 
     def __init__(
@@ -36,7 +38,10 @@
         threads: int = 10,
         pause_s: float = 0.02,
         is_read_only: bool = False,
+        keeps_connections: bool = False,
     ) -> None:
+        self._keeps_connections = keeps_connections
+        self._local = threading.local()
         self.history = histories.History()
         self._cluster = cluster
         self._pause_s = pause_s
@@ -88,6 +93,8 @@
             else:
                 self._send(rng, 'GET', '/packs', PACK_BYTES)
             time.sleep(rng.expovariate(1 / self._pause_s))
+        for conn in self._local.__dict__.values():
+            conn.close()
 
     def _save(self, rng: random.Random) -> None:
         """Send a save; retry it with the same key while it is not answered."""
@@ -115,22 +122,10 @@
         headers = {'x-mark': mark}
         if key:
             headers['Idempotency-Key'] = key
-        nodes = [
-            node
-            for node in self._cluster.nodes
-            if node.process.is_running and not node.is_stopping
-        ]
         body = SAVE_BODY if method == 'POST' else None
         sent_at = self._in_flight[mark] = time.time()
         try:
-            response = local_cluster.send_request(
-                rng.choice(nodes).http_port,
-                query,
-                method,
-                body,
-                headers,
-                timeout_s=CALL_TIMEOUT_S,
-            )
+            response = self._exchange(rng, query, method, body, headers)
         except (OSError, http.client.HTTPException) as exc:
             response = None
             reason = type(exc).__name__
@@ -149,6 +144,36 @@
         self.history.requests.append(request)
         return request
 
+    def _exchange(
+        self, rng: random.Random, *request
+    ) -> local_cluster.Response:
+        """Send a request to a random node and return the response."""
+        nodes = [
+            node
+            for node in self._cluster.nodes
+            if node.process.is_running and not node.is_stopping
+        ]
+        if not self._keeps_connections:
+            return local_cluster.send_request(
+                rng.choice(nodes).http_port, *request, timeout_s=CALL_TIMEOUT_S
+            )
+        connections = self._local.__dict__
+        ports = {node.http_port for node in nodes} | connections.keys()
+        port = rng.choice(sorted(ports))
+        conn = connections.pop(port, None) or local_cluster.KeptConnection(
+            port, CALL_TIMEOUT_S
+        )
+        try:
+            response = conn.send_request(*request)
+        except (OSError, http.client.HTTPException):
+            conn.close()
+            raise
+        if response.headers.get('connection') == 'close':
+            conn.close()
+        else:
+            connections[port] = conn
+        return response
+
 
 def _request_of(
     request_fields, response: local_cluster.Response, content: str
--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -154,12 +154,20 @@
 class KeptConnection:
     """Send requests one after the other on one connection."""
 
-    def __init__(self, port: int) -> None:
-        self._conn = http.client.HTTPConnection(HOST, port, timeout=10.0)
-
-    def send_request(self, path: str, method: str = 'GET') -> Response:
+    def __init__(self, port: int, timeout_s: float = 10.0) -> None:
+        self._conn = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
+
+    def send_request(
+        self,
+        path: str,
+        method: str = 'GET',
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Response:
         """Send one request; a truncated response raises an error."""
-        self._conn.request(method, path, None, {'Host': CALLER_HOST})
+        self._conn.request(
+            method, path, body, {'Host': CALLER_HOST, **(headers or {})}
+        )
         return _read_response(self._conn)
 
     def close(self) -> None:
--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -24,45 +24,49 @@
 
 
 @dataclasses.dataclass
-class _FaultContext:
-    """Hold what a fault function needs."""
+class FaultContext:
+    """Hold what a fault function needs.
+
+    Faults hit the pairs of a node and a server from first_pair up to, but
+    not including, end_pair.
+    """
 
     cluster: local_cluster.LocalCluster
     rng: random.Random
     history: histories.History
+    first_pair: int = 1
+    end_pair: int | None = None
 
     def pick_node(self) -> local_cluster.Node:
-        """Return a random running node, but never the first."""
-        return self.rng.choice(
-            [n for n in self.cluster.nodes[1:] if n.process.is_running]
-        )
+        """Return a random running node."""
+        nodes = self.cluster.nodes[self.first_pair : self.end_pair]
+        return self.rng.choice([n for n in nodes if n.process.is_running])
 
     def pick_server(self) -> local_cluster.Server:
-        """Return a random running server, but never the first."""
-        return self.rng.choice(
-            [s for s in self.cluster.servers[1:] if s.process.is_running]
-        )
+        """Return a random running server."""
+        servers = self.cluster.servers[self.first_pair : self.end_pair]
+        return self.rng.choice([s for s in servers if s.process.is_running])
 
 
-def _kill_node(context: _FaultContext) -> None:
+def _kill_node(context: FaultContext) -> None:
     node = context.pick_node()
     node.process.kill()
     time.sleep(SETTLE_S)
     context.cluster.restart_node(node)
 
 
-def _kill_server(context: _FaultContext) -> None:
+def _kill_server(context: FaultContext) -> None:
     server = context.pick_server()
     server.process.kill()
     time.sleep(SETTLE_S)
     context.cluster.restart_server(server)
 
 
-def _freeze_node(context: _FaultContext) -> None:
+def _freeze_node(context: FaultContext) -> None:
     _freeze(context.pick_node().process)
 
 
-def _freeze_server(context: _FaultContext) -> None:
+def _freeze_server(context: FaultContext) -> None:
     _freeze(context.pick_server().process)
 
 
@@ -72,19 +76,19 @@
     process.signal(signal.SIGCONT)
 
 
-def _platform_down(context: _FaultContext) -> None:
+def _platform_down(context: FaultContext) -> None:
     context.cluster.set_fault('down')
     time.sleep(PLATFORM_FAULT_DURATION_S)
     context.cluster.set_fault('none')
 
 
-def _platform_loses_answers(context: _FaultContext) -> None:
+def _platform_loses_answers(context: FaultContext) -> None:
     context.cluster.set_fault('lost-answer')
     time.sleep(PLATFORM_FAULT_DURATION_S)
     context.cluster.set_fault('none')
 
 
-def _drain_server(context: _FaultContext) -> None:
+def _drain_server(context: FaultContext) -> None:
     server = context.pick_server()
     server.process.signal(signal.SIGTERM)
     drained_at = time.time()
@@ -95,14 +99,14 @@
     context.cluster.restart_server(server)
 
 
-def _kill_server_while_node_is_frozen(context: _FaultContext) -> None:
+def _kill_server_while_node_is_frozen(context: FaultContext) -> None:
     node = context.pick_node()
     node.process.signal(signal.SIGSTOP)
     _kill_server(context)
     node.process.signal(signal.SIGCONT)
 
 
-def _kill_node_while_platform_is_down(context: _FaultContext) -> None:
+def _kill_node_while_platform_is_down(context: FaultContext) -> None:
     context.cluster.set_fault('down')
     node = context.pick_node()
     node.process.kill()
@@ -111,7 +115,7 @@
     context.cluster.restart_node(node)
 
 
-def _kill_node_and_server(context: _FaultContext) -> None:
+def _kill_node_and_server(context: FaultContext) -> None:
     node, server = context.pick_node(), context.pick_server()
     node.process.kill()
     server.process.kill()
@@ -144,7 +148,7 @@
             NODE_SERVER_PAIRS, SERVICES, *server_args
         )
         with load_generator.LoadGenerator(cluster, seed) as callers:
-            context = _FaultContext(
+            context = FaultContext(
                 cluster, random.Random(seed), callers.history
             )
             in_flight: set[str] = set()
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -52,6 +52,7 @@
             'CLAIM_COUNT': 10,
         }
     },
+    'soak': {'soak': {'PLANNED_DURATION_S': 0.1, 'FAULTS_DURATION_S': 0.1}},
     'transfer': {
         'transfer': {
             'PACK_BYTES': 2_000_000,
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -100,3 +100,18 @@
             history = histories.History([request('a', caller_outcome)])
             violations = histories.check_all_answered(history)
             self.assertEqual(expected, len(violations))
+
+    def test_nothing_cut(self):
+        for title, caller_outcome, runs, expected in (
+            ('answered', CallerOutcome.ANSWERED, [run('a')], 0),
+            ('not run', CallerOutcome.NOT_RUN, [], 0),
+            ('crossed the close', CallerOutcome.CUT, [], 0),
+            ('cut while it ran', CallerOutcome.CUT, [run('a')], 1),
+            ('unknown', CallerOutcome.UNKNOWN, [], 1),
+        ):
+            with self.subTest(title):
+                history = histories.History(
+                    [request('a', caller_outcome)], runs
+                )
+                violations = histories.check_nothing_cut(history)
+                self.assertEqual(expected, len(violations))
