Enforce the limits that a configuration sets on callers

What callers could see: a caller that stopped in the middle of its headers kept its connection for ever, idle connections lived for 60 s and bodies of any size were read, whatever the operator had set; on a deployment with an idle time-out above 75 s, kept connections were closed while callers may use them.

The limits of the version in force apply to each connection and request: 431 and 413 as before for sizes, 408 after the time for the headers, idle connections closed, new ones included. A body that grows over the limit after a part of it was sent ends as unknown, with 413.

--- a/jayflow/commands/stand_in.py
+++ b/jayflow/commands/stand_in.py
@@ -17,7 +17,7 @@
 
     async def serve() -> None:
         app = platform_emulator.PlatformApp.with_empty_store()
-        server = http_server.create(app, *args.address, _bad_request)
+        server = http_server.create(app, *args.address)
         await node.serve_until_signal(server)
 
     event_loop.run(serve)
@@ -43,7 +43,3 @@
         sample_backend.SampleBackend.from_options(options, args.seed).run
     )
     return exit_codes.ExitCode.DONE
-
-
-def _bad_request(is_too_large: bool):
-    return (431 if is_too_large else 400), [(b'content-length', b'0')], b''
--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -1,28 +1,37 @@
 """Serve ASGI applications with uvicorn inside the running event loop.
 
-Adds to uvicorn a size limit on header blocks, a hook that handles
-malformed requests and returns the error response to send, and a
-callback for lost connections.
+Adds to uvicorn the limits of a configuration version on header blocks and
+idle connections, a hook that handles malformed requests and returns the error
+response to send, and a callback for lost connections.
 """
 
 import asyncio
 from collections.abc import Callable
 import contextlib
+import enum
 import logging
 from typing import ClassVar
 
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
-MAX_HEAD_BYTES = 32 * 1024
+from jayflow.version import objects
+
 BACKLOG = 1024
-KEEP_ALIVE_S = 60
 DISCONNECT_EXTENSION = 'jayflow.disconnect'
 
-# Called with whether the header block is too large; returns the status, the
-# headers and the body of the error response.
+
+class BadHead(enum.Enum):
+    """List what can be wrong with the head of a request."""
+
+    MALFORMED = 400
+    TIMED_OUT = 408
+    TOO_LARGE = 431
+
+
+# Returns the status, the headers and the body of the error response.
 BadRequestHandler = Callable[
-    [bool], tuple[int, list[tuple[bytes, bytes]], bytes]
+    [BadHead], tuple[int, list[tuple[bytes, bytes]], bytes]
 ]
 
 
@@ -83,15 +92,26 @@
 
 
 class _Protocol(httptools_impl.HttpToolsProtocol):
-    """Limit the size of header blocks and report lost connections."""
+    """Limit header blocks and idle time, and report lost connections."""
 
     on_bad_request: ClassVar[BadRequestHandler]
+    find_limits: ClassVar[Callable[[], objects.Limits]]
+    _limits = objects.Limits()
     _received_head_bytes = 0
     _header_bytes = 0
     _is_reading_head = True
     _is_too_large = False
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        self._apply_limits()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_head_timer()
         super().connection_lost(exc)
         if self.scope is not None:
             self.scope['extensions'][DISCONNECT_EXTENSION].notify()
@@ -101,11 +121,19 @@
         if was_reading_head:
             self._received_head_bytes += len(data)
         super().data_received(data)
-        is_over_limit = self._received_head_bytes > MAX_HEAD_BYTES
-        if was_reading_head and self._is_reading_head and is_over_limit:
-            self._send_error(True)
+        if not self._is_reading_head or not self._received_head_bytes:
+            return
+        if self._received_head_bytes > self._limits.header_bytes:
+            self._send_error(BadHead.TOO_LARGE)
+        elif self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self._limits.header_timeout,
+                self._send_error,
+                BadHead.TIMED_OUT,
+            )
 
     def on_message_begin(self) -> None:
+        self._apply_limits()
         self._is_reading_head = True
         self._is_too_large = False
         self._header_bytes = 0
@@ -121,6 +149,7 @@
         self._count_header_bytes(name + value)
 
     def on_headers_complete(self) -> None:
+        self._stop_head_timer()
         self._is_reading_head = False
         self._received_head_bytes = 0
         super().on_headers_complete()
@@ -131,18 +160,30 @@
 
     def send_400_response(self, msg: str) -> None:
         del msg
-        self._send_error(self._is_too_large)
+        self._send_error(
+            BadHead.TOO_LARGE if self._is_too_large else BadHead.MALFORMED
+        )
+
+    def _apply_limits(self) -> None:
+        self._limits = self.find_limits()
+        self.timeout_keep_alive = self._limits.idle_timeout
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
 
     def _count_header_bytes(self, data: bytes) -> None:
         self._header_bytes += len(data)
-        if self._header_bytes > MAX_HEAD_BYTES:
+        if self._header_bytes > self._limits.header_bytes:
             self._is_too_large = True
             raise ValueError('header block exceeds the size limit')
 
-    def _send_error(self, is_too_large: bool) -> None:
+    def _send_error(self, bad_head: BadHead) -> None:
+        self._stop_head_timer()
         if self.transport.is_closing():
             return
-        status, headers, body = self.on_bad_request(is_too_large)
+        status, headers, body = self.on_bad_request(bad_head)
         chunks = [httptools_impl.STATUS_LINE[status]]
         for name, value in [*headers, (b'connection', b'close')]:
             chunks += (name, b': ', value, b'\r\n')
@@ -150,10 +191,25 @@
         self.transport.close()
 
 
+def reject_without_body(
+    bad_head: BadHead,
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return an error response without a body."""
+    return bad_head.value, [(b'content-length', b'0')], b''
+
+
 def create(
-    app, host: str, port: int, on_bad_request: BadRequestHandler
+    app,
+    host: str,
+    port: int,
+    on_bad_request: BadRequestHandler = reject_without_body,
+    find_limits: Callable[[], objects.Limits] = objects.Limits,
 ) -> uvicorn.Server:
-    """Return a server; await its `serve` method to run it."""
+    """Return a server; await its `serve` method to run it.
+
+    find_limits is called for each connection and each request; what it
+    returns may change.
+    """
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
     cfg = uvicorn.Config(
         app,
@@ -162,7 +218,10 @@
         http=type(
             'Protocol',
             (_Protocol,),
-            {'on_bad_request': staticmethod(on_bad_request)},
+            {
+                'on_bad_request': staticmethod(on_bad_request),
+                'find_limits': staticmethod(find_limits),
+            },
         ),
         ws='none',
         lifespan='off',
@@ -172,6 +231,5 @@
         date_header=False,
         proxy_headers=False,
         backlog=BACKLOG,
-        timeout_keep_alive=KEEP_ALIVE_S,
     )
     return _Server(cfg)
--- a/jayflow/emulator/sample_backend.py
+++ b/jayflow/emulator/sample_backend.py
@@ -221,7 +221,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and deregister."""
         address = self._options.address
-        server = http_server.create(self, *address, _bad_request)
+        server = http_server.create(self, *address)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve)
             tasks.start_soon(self._announce_forever)
@@ -360,7 +360,3 @@
         {'type': 'http.response.start', 'status': status, 'headers': headers}
     )
     await send({'type': 'http.response.body', 'body': body})
-
-
-def _bad_request(is_too_large: bool):
-    return (431 if is_too_large else 400), [(b'content-length', b'0')], b''
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -59,6 +59,11 @@
 
 Reason = outcome.Reason
 INCARNATION_BITS = 62
+_BAD_HEAD_REASONS = {
+    http_server.BadHead.MALFORMED: Reason.BAD_REQUEST,
+    http_server.BadHead.TIMED_OUT: Reason.HEADERS_TIMED_OUT,
+    http_server.BadHead.TOO_LARGE: Reason.HEADERS_TOO_LARGE,
+}
 IDLE_CONNECTION_CHECK_INTERVAL_S = 5.0
 # A forced stop begins when this share of the stop limit is left, so that a
 # node with little processor time ends before it is killed.
@@ -297,7 +302,10 @@
         )
         self._message_router.send = listener.send
         caller_server = http_server.create(
-            self._ingress, *self._cfg.http, self._bad_request
+            self._ingress,
+            *self._cfg.http,
+            self._bad_request,
+            lambda: self._active_version.current.objects.limits,
         )
         control_app = self._environment.create_control_app(
             self._cfg, self._registration, self._status_reporter.status
@@ -560,10 +568,8 @@
             objects.DataCentreName(sender_data_centre)
         )
 
-    def _bad_request(self, is_too_large: bool):
-        reason = Reason.BAD_REQUEST
-        if is_too_large:
-            reason = Reason.HEADERS_TOO_LARGE
+    def _bad_request(self, bad_head: http_server.BadHead):
+        reason = _BAD_HEAD_REASONS[bad_head]
         self._metrics.count_refusal(reason)
         failure = outcome.NotRun(reason, outcome.Evidence.NEVER_SENT)
         document = problem.Problem.from_failure(failure)
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -44,6 +44,10 @@
     """Report that the caller closed its connection."""
 
 
+class BodyTooLargeError(Exception):
+    """Report a body that exceeds the limit after a part of it was sent."""
+
+
 class Ingress:
     """Serve callers as an ASGI application."""
 
@@ -136,6 +140,8 @@
         except CallerGoneError:
             self._metrics.count_refusal(Reason.BODY_CUT)
             return
+        except BodyTooLargeError:
+            result = outcome.Unknown(Reason.BODY_TOO_LARGE)
         self._record_end(req_or_failure, result)
         if isinstance(result, responses.Response):
             await self._send_response(scope, req_or_failure, result, send)
@@ -210,6 +216,9 @@
             headers, self._single_value_headers()
         ):
             return _never_sent(Reason.BAD_REQUEST)
+        body.limit_bytes = version.objects.limits.body_bytes
+        if body.is_too_large(headers):
+            return _never_sent(Reason.BODY_TOO_LARGE)
         host = (http_headers.value_of(headers, b'host') or b'').decode(
             'latin-1'
         )
@@ -346,9 +355,18 @@
 
     def __init__(self, receive) -> None:
         self._receive = receive
+        self._read_bytes = 0
+        self.limit_bytes: int | None = None
         self.first = b''
         self.more = True
 
+    def is_too_large(self, headers: messages.Headers) -> bool:
+        """Return whether the stated length, or what was read, is too large."""
+        if self.limit_bytes is None:
+            return False
+        length = http_headers.value_of(headers, b'content-length') or b'0'
+        return max(int(length), self._read_bytes) > self.limit_bytes
+
     async def read_first(self) -> None:
         """Read until the body ends or the first message is full."""
         parts = bytearray()
@@ -362,6 +380,12 @@
         message = await self._receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError
+        self._read_bytes += len(message['body'])
+        if (
+            self.limit_bytes is not None
+            and self._read_bytes > self.limit_bytes
+        ):
+            raise BodyTooLargeError
         return message['body'], message['more_body']
 
 
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -30,6 +30,7 @@
 
     BAD_REQUEST = 'bad_request'
     HEADERS_TOO_LARGE = 'headers_too_large'
+    HEADERS_TIMED_OUT = 'headers_timed_out'
     BODY_CUT = 'body_cut'
     NO_ROUTE = 'no_route'
     NO_CONFIGURATION = 'no_configuration'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -20,6 +20,7 @@
     Reason.BODY_CUT: 400,
     Reason.KEY_REQUIRED: 400,
     Reason.NO_ROUTE: 404,
+    Reason.HEADERS_TIMED_OUT: 408,
     Reason.KEY_IN_USE: 409,
     Reason.BODY_TOO_LARGE: 413,
     Reason.KEY_MISMATCH: 422,
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -28,7 +28,6 @@
             self.app,
             local_cluster.HOST,
             port,
-            lambda is_too_large: (400, [], b''),
         )
         serving = asyncio.create_task(server.serve())
         self.addAsyncCleanup(self._stop, server, serving)
