Finish a response before a connection with a bad head is closed

Cause: the error response was written to the connection at once, whatever else was being sent on it.

Such a connection is read no further and closes after the responses that are due.

--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -183,6 +183,11 @@
         self._stop_head_timer()
         if self.transport.is_closing():
             return
+        if self.cycle is not None and not self.cycle.response_complete:
+            # An earlier request still runs; the connection closes after it.
+            self.cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
         status, headers, body = self.on_bad_request(bad_head)
         chunks = [httptools_impl.STATUS_LINE[status]]
         for name, value in [*headers, (b'connection', b'close')]:
--- a/tests/connection/test_caller_limits.py
+++ b/tests/connection/test_caller_limits.py
@@ -94,3 +94,59 @@
         self.assertFalse(body.is_too_large([]))
         with self.assertRaises(ingress.BodyTooLargeError):
             await body.read()
+
+
+class PipelinedHeadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_error_response_was_written_into_another_response(self):
+        cases = [
+            ('malformed', b'\x00\x00\r\n\r\n'),
+            ('too long', b'GET /' + b'x' * 300),
+            ('never completed', b'GET / HTTP'),
+        ]
+        for title, data in cases:
+            with self.subTest(title):
+                response = await self._exchange(data)
+                self.assertTrue(response.startswith(b'HTTP/1.1 200 OK'))
+                self.assertTrue(response.endswith(b'\r\n\r\nfirst second'))
+
+    async def _exchange(self, data):
+        """Return what arrives if data follow a request that still runs."""
+
+        async def respond(scope, receive, send):
+            headers = [(b'content-length', b'12')]
+            await send(
+                {
+                    'type': 'http.response.start',
+                    'status': 200,
+                    'headers': headers,
+                }
+            )
+            for body, more in ((b'first ', True), (b'second', False)):
+                await send(
+                    {
+                        'type': 'http.response.body',
+                        'body': body,
+                        'more_body': more,
+                    }
+                )
+                await asyncio.sleep(2 * LIMITS.header_timeout)
+
+        port = local_cluster.reserve_ports(1)[0]
+        server = http_server.create(
+            respond, local_cluster.HOST, port, find_limits=lambda: LIMITS
+        )
+        serving = asyncio.create_task(server.serve())
+        while not server.started:
+            await asyncio.sleep(0.01)
+        reader, writer = await asyncio.open_connection(
+            local_cluster.HOST, port
+        )
+        writer.write(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+        await asyncio.sleep(0.1)
+        writer.write(data)
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            response = await reader.read()
+        writer.close()
+        server.should_exit = True
+        await serving
+        return response
