--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -499,9 +499,8 @@
             await self._member_writer.reconcile()
             await self._link_budgets.release_seats()
         await anyio.sleep(self._live.current.leave_time)
-        if self._executor.in_flight:
-            await self._executor.wait_idle()
-            await anyio.sleep(REPLY_DELIVERY_S)
+        await self._executor.wait_idle()
+        await anyio.sleep(REPLY_DELIVERY_S)
         caller_server.should_exit = True
         while caller_server.server_state.connections or len(
             self._exchange_table
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -15,6 +15,12 @@
 SLOW_MS = 300
 STOP_LIMIT_S = 6
 PAUSE_S = 0.4
+# Title, time in service in ms, and when the sender is paused after the signal
+# in s. Callers have a second to leave.
+BUSY_CASES = [
+    ('ends after callers have left', 2000, 1.5),
+    ('ends just before that', 1200, 0.75),
+]
 DOWNLOADS = 6
 CRASH_CASES = [
     ('read', 'GET', 'lookup', 'crash=1'),
@@ -166,26 +172,37 @@
     def test_a_response_was_lost_as_its_node_stopped_and_the_other_was_busy(
         self,
     ):
-        with local_cluster.LocalCluster.open() as cluster:
-            busy = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
-            stopping = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
-            cluster.start_server(stopping, 'packs')
-            cluster.publish()
-            cluster.wait_for_servers(1)
-            with concurrent.futures.ThreadPoolExecutor(1) as pool:
-                response = pool.submit(
-                    local_cluster.send_request,
-                    busy.http_port,
-                    '/packs/x?ms=2000',
+        for title, service_ms, paused_after_s in BUSY_CASES:
+            with (
+                self.subTest(title),
+                local_cluster.LocalCluster.open() as cluster,
+            ):
+                status = self._status_beside_pause(
+                    cluster, service_ms, paused_after_s
                 )
-                time.sleep(0.3)
-                stopping.process.signal(signal.SIGTERM)
-                time.sleep(1.5)
-                busy.process.signal(signal.SIGSTOP)
-                time.sleep(PAUSE_S)
-                busy.process.signal(signal.SIGCONT)
-                self.assertEqual(200, response.result().status)
-            self.assertEqual(0, stopping.process.wait())
+                self.assertEqual(200, status)
+                self.assertEqual(0, cluster.nodes[1].process.wait())
+
+    def _status_beside_pause(self, cluster, service_ms, paused_after_s):
+        """Return the status of a request whose sender is paused at its end."""
+        busy = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
+        stopping = cluster.start_node(stop_limit=f'{STOP_LIMIT_S} s')
+        cluster.start_server(stopping, 'packs')
+        cluster.publish()
+        cluster.wait_for_servers(1)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            response = pool.submit(
+                local_cluster.send_request,
+                busy.http_port,
+                f'/packs/x?ms={service_ms}',
+            )
+            time.sleep(0.3)
+            stopping.process.signal(signal.SIGTERM)
+            time.sleep(paused_after_s)
+            busy.process.signal(signal.SIGSTOP)
+            time.sleep(PAUSE_S)
+            busy.process.signal(signal.SIGCONT)
+            return response.result().status
 
 
 class CutTest(unittest.TestCase):
