Log which requests ran in a crash and how many crashes each has

The lines could not tell whether a request that crashes servers is counted under several fingerprints, is cleared, or is missing from reports: 'Backend server crashed.' gave only a number. Crash reports and cleared suspects now leave a line with fingerprints and counts, and a failed or quarantined attempt names its method, target, body size and fingerprint. No decision changes.

--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -30,6 +30,8 @@
 MAX_REMEMBERED_CRASHES = 256
 # Requests that break within this time belong to the same crash.
 CRASH_WINDOW_S = 0.5
+# A log line holds this many fingerprints at most.
+MAX_LOGGED_FINGERPRINTS = 50
 
 Broadcast = Callable[[messages.CrashReport], Awaitable[None]]
 
@@ -91,17 +93,17 @@
             self.quarantine_duration_s(service) if may_quarantine else 0
         )
         self._metrics.count_event(metrics_module.Event.CRASH)
+        crash = secrets.token_hex(8)
         self._log.warning(
             'Backend server crashed.',
+            crash=crash,
             beside=len(running_at_crash),
             alone=is_exclusive,
         )
         try:
             await self._broadcast(
                 messages.CrashReport(
-                    secrets.token_hex(8),
-                    list(running_at_crash),
-                    int(remaining_s * 1000),
+                    crash, list(running_at_crash), int(remaining_s * 1000)
                 )
             )
         finally:
@@ -125,8 +127,13 @@
         ]
         if not report.crash:
             for fingerprint in fingerprints:
-                self.quarantine.clear(fingerprint)
-        elif self.max_crashes is not None:
+                if self.quarantine.clear(fingerprint):
+                    self._log.info(
+                        'Suspect request ended without a crash.',
+                        fingerprint=fingerprint.hex(),
+                    )
+            return
+        if self.max_crashes is not None:
             self.quarantine.count_crashes(
                 fingerprints, now, self.max_crashes, report.remaining_ms / 1000
             )
@@ -135,6 +142,14 @@
             self.quarantine.add(fingerprints[0], until)
         else:
             self.quarantine.mark_suspects(fingerprints, now)
+        self._log.info(
+            'Crash is recorded.',
+            crash=report.crash,
+            suspects=[
+                f'{fingerprint.hex()}:{self.quarantine.describe(fingerprint)}'
+                for fingerprint in fingerprints[:MAX_LOGGED_FINGERPRINTS]
+            ],
+        )
 
     async def _broadcast(self, report: messages.CrashReport) -> None:
         self.handle_report(report)
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -560,6 +560,7 @@
             fault=exc.fault.value,
             instance=job.server.instance,
             elapsed_ms=round((self._clock() - job.sent_at) * 1000),
+            **_request_fields(job.start),
         )
         job.end(messages.AttemptFailed, reason, self.load())
 
@@ -594,6 +595,7 @@
             running=load.running,
             queued=load.queued,
             slots=load.slots,
+            **(_request_fields(start) if reason is Reason.QUARANTINED else {}),
         )
         reply(messages.Refused(start.attempt, reason.value, load))
 
@@ -640,6 +642,16 @@
             self.remove_server()
 
 
+def _request_fields(start: messages.Start) -> dict[str, str | int]:
+    """Return what identifies the content of a request, for the log."""
+    return {
+        'fingerprint': start.fingerprint.hex(),
+        'method': start.method,
+        'target': start.target.decode('latin-1'),
+        'body_bytes': len(start.body),
+    }
+
+
 def _no_link_budget(sender_data_centre: str) -> None:
     """Return None, as if every sender were in this region."""
     del sender_data_centre
--- a/jayflow/request/quarantine.py
+++ b/jayflow/request/quarantine.py
@@ -97,11 +97,22 @@
         """Quarantine a request that is known to crash servers."""
         self._put(digest, _Record(QuarantineState.QUARANTINED, until))
 
-    def clear(self, digest: Fingerprint) -> None:
-        """Clear a suspect that ended without a crash."""
+    def clear(self, digest: Fingerprint) -> bool:
+        """Clear a suspect that ended without a crash; return if it was one."""
         record = self._records.get(digest)
-        if record and record.state is QuarantineState.SUSPECT:
+        is_suspect = record and record.state is QuarantineState.SUSPECT
+        if is_suspect:
             del self._records[digest]
+        return bool(is_suspect)
+
+    def describe(self, digest: Fingerprint) -> str:
+        """Return the counted crashes of a suspect, or its state."""
+        record = self._records.get(digest)
+        if record is None:
+            return QuarantineState.FREE.value
+        if record.state is QuarantineState.SUSPECT and record.crashes:
+            return str(record.crashes)
+        return record.state.value
 
     def expire(self, now: float) -> None:
         """Drop the records that have expired."""
