Show that a node misses crashes while its server is down

What callers saw: 502 after a request had crashed three servers.

The test fails: a crash is reported only to nodes that serve the service at that moment.

--- a/tests/process/test_crash_broadcast.py
+++ b/tests/process/test_crash_broadcast.py
@@ -29,6 +29,16 @@
 ]
 
 
+# Title, services and whether it drains of a member, and whether it hears of
+# the crash: a member without a server will have one again.
+AUDIENCE_CASES = [
+    ('serves the service', (SERVICE,), False, True),
+    ('its server drains', (SERVICE,), True, True),
+    ('its own server has crashed', (), False, True),
+    ('serves another service', ('other',), False, False),
+]
+
+
 class FakePeer:
     """Handle crash reports and acknowledge each after a delay."""
 
@@ -107,6 +117,41 @@
                     state = peer.tracker.quarantine.state_of(DIGEST, 0.0)
                     self.assertIs(quarantine.QuarantineState.SUSPECT, state)
 
+    def test_a_node_whose_server_is_down_hears_of_later_crashes(self):
+        async def main(loop, services, is_draining):
+            peer = FakePeer([0.0], loop)
+            table = exchanges.ExchangeTable(
+                messages.Incarnation(1), metrics_module.Metrics()
+            )
+            peer.deliver = table.deliver
+            directory = member_directory.MemberDirectory(
+                messages.NodeId('n1'), objects.DataCentreName('a')
+            )
+            directory.put(
+                test_member_directory.member(
+                    'n2', 'a', services=services, draining=is_draining
+                )
+            )
+            await crash_broadcast.CrashBroadcaster(
+                messages.NodeId('n1'),
+                FakeBackend(),
+                directory,
+                table,
+                lambda view, lane: peer,
+            ).broadcast(messages.CrashReport('c1', [DIGEST], 5000))
+            return peer.tracker.quarantine.state_of(DIGEST, 0.0)
+
+        for title, services, is_draining, is_told in AUDIENCE_CASES:
+            with self.subTest(title):
+                state = self.run_virtual(
+                    lambda loop, services=services, is_draining=is_draining: (
+                        main(loop, services, is_draining)
+                    )
+                )
+                self.assertEqual(
+                    is_told, state is quarantine.QuarantineState.SUSPECT
+                )
+
     def test_a_repeated_report_counts_one_crash(self):
         async def main(loop):
             peer = FakePeer([], loop)
