Count crashes of a request whatever its query, method and route

Cause: a crashing request was recognised by service, method, target with the query, and body. With another query it was another request, with no crashes counted, and crashed three more servers.

Change: where crashes are counted, each also counts for the host, path, caller and body. A request that ends without a crash clears both counts, so harmless requests of a busy path are not refused.

--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 import secrets
 
 import anyio
@@ -17,6 +18,8 @@
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.request import header_dialect
+from jayflow.request import headers as http_headers
 from jayflow.request import quarantine
 from jayflow.version import objects
 
@@ -34,6 +37,8 @@
 MAX_LOGGED_FINGERPRINTS = 50
 
 Broadcast = Callable[[messages.CrashReport], Awaitable[None]]
+# The fingerprints of each request that is running.
+RunningRequests = frozenset[tuple[quarantine.Fingerprint, ...]]
 
 
 class CrashTracker:
@@ -44,8 +49,10 @@
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
         max_crashes: int | None = None,
+        dialect: header_dialect.HeaderDialect = header_dialect.DEFAULT_DIALECT,
     ) -> None:
         self.max_crashes = max_crashes
+        self._dialect = dialect
         self.quarantine = quarantine.Quarantine()
         self.broadcast: Broadcast = _broadcast_to_nobody
         self.quarantine_duration_s: Callable[[objects.ServiceName], float] = (
@@ -54,16 +61,43 @@
         self._metrics = metrics
         self._clock = clock
         self._log = logs.get_logger(logs.Component.EXECUTOR)
-        self._running_at_crash: frozenset[quarantine.Fingerprint] = frozenset()
+        self._running_at_crash: RunningRequests = frozenset()
         self._window_end = 0.0
         self._reported: anyio.Event | None = None
         self._handled: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_CRASHES
         )
 
-    def fingerprints_at_crash(
-        self, running: Iterable[quarantine.Fingerprint]
-    ) -> frozenset[quarantine.Fingerprint]:
+    def fingerprints_of(
+        self, start: messages.Start
+    ) -> tuple[quarantine.Fingerprint, ...]:
+        """Return the fingerprints under which crashes of a request count.
+
+        A suspect that runs alone is the only cause of a crash, so that its
+        own fingerprint is enough.
+        """
+        if not start.fingerprint:
+            return ()
+        own = quarantine.Fingerprint(start.fingerprint)
+        if self.max_crashes is None:
+            return (own,)
+        path = quarantine.path_fingerprint(
+            http_headers.value_of(start.headers, b'host') or b'',
+            start.target,
+            self._dialect.caller_of(start.headers),
+            start.body[: messages.MAX_PART_BYTES],
+        )
+        return own, path
+
+    def state_of(
+        self, fingerprints: Iterable[quarantine.Fingerprint]
+    ) -> quarantine.QuarantineState:
+        """Return how to treat a request with these fingerprints now."""
+        return self.quarantine.worst_state_of(fingerprints, self._clock())
+
+    def running_at_crash(
+        self, running: Iterable[tuple[quarantine.Fingerprint, ...]]
+    ) -> RunningRequests:
         """Return what ran when the first request of this crash broke."""
         now = self._clock()
         if now >= self._window_end:
@@ -75,7 +109,7 @@
     async def report_crash(
         self,
         service: objects.ServiceName,
-        running_at_crash: frozenset[quarantine.Fingerprint],
+        running_at_crash: RunningRequests,
         is_exclusive: bool,
     ) -> None:
         """Record a crash and notify the other nodes, once per crash.
@@ -103,17 +137,19 @@
         try:
             await self._broadcast(
                 messages.CrashReport(
-                    crash, list(running_at_crash), int(remaining_s * 1000)
+                    crash,
+                    sorted(set(itertools.chain(*running_at_crash))),
+                    int(remaining_s * 1000),
                 )
             )
         finally:
             reported.set()
 
     async def report_cleared(
-        self, fingerprint: quarantine.Fingerprint
+        self, fingerprints: Iterable[quarantine.Fingerprint]
     ) -> None:
         """Clear a suspect that ended without a crash, on all nodes."""
-        await self._broadcast(messages.CrashReport('', [fingerprint], 0))
+        await self._broadcast(messages.CrashReport('', list(fingerprints), 0))
 
     def handle_report(self, report: messages.CrashReport) -> None:
         """Handle a report of a crash, or of a cleared suspect."""
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -87,7 +87,7 @@
             clock, dialect, is_adaptive
         )
         self.crash_tracker = crash_tracker.CrashTracker(
-            metrics, clock, max_crashes
+            metrics, clock, max_crashes, dialect
         )
         self.on_state_change: Callable[[], None] = lambda: None
         self.on_slowness_change: Callable[[], None] = lambda: None
@@ -285,16 +285,16 @@
             self._send_refusal(start, _ADMIT_REFUSAL_REASONS[result], reply)
             return
         now = self._clock()
-        reason = self._reason_to_refuse(start, now)
+        fingerprints = self.crash_tracker.fingerprints_of(start)
+        quarantine_state = self.crash_tracker.state_of(fingerprints)
+        reason = self._reason_to_refuse(start, quarantine_state)
         if reason is not None:
             self._refuse(start, reason, reply)
             return
         job = jobs.Job(start, reply, now)
         job.link_budget = self.link_budget_for(start.sender_data_centre)
-        quarantine_state = self.crash_tracker.quarantine.state_of(
-            start.fingerprint, now
-        )
-        job.is_suspect = bool(start.fingerprint) and (
+        job.fingerprints = fingerprints
+        job.is_suspect = bool(fingerprints) and (
             start.suspect
             or quarantine_state is quarantine.QuarantineState.SUSPECT
         )
@@ -314,15 +314,11 @@
             self._enqueue(job, now)
 
     def _reason_to_refuse(
-        self, start: messages.Start, now: float
+        self,
+        start: messages.Start,
+        quarantine_state: quarantine.QuarantineState,
     ) -> Reason | None:
-        quarantine_state = self.crash_tracker.quarantine.state_of(
-            start.fingerprint, now
-        )
-        if (
-            start.fingerprint
-            and quarantine_state is quarantine.QuarantineState.QUARANTINED
-        ):
+        if quarantine_state is quarantine.QuarantineState.QUARANTINED:
             return Reason.QUARANTINED
         if self.is_stopping:
             return Reason.NODE_STOPPING
@@ -488,8 +484,7 @@
 
         await job.exchange(conn, check_head, load)
         if job.is_suspect:
-            fingerprint = quarantine.Fingerprint(job.start.fingerprint)
-            await self.crash_tracker.report_cleared(fingerprint)
+            await self.crash_tracker.report_cleared(job.fingerprints)
 
     def _check_head(
         self, job: jobs.Job, status: int, headers: messages.Headers
@@ -542,7 +537,7 @@
             exc.fault is backend_client.ConnectionFault.CLOSED
             and not job.head_received_at
         ):
-            fingerprints = self.crash_tracker.fingerprints_at_crash(
+            running_requests = self.crash_tracker.running_at_crash(
                 self._running_fingerprints()
             )
             if await crash_tracker.is_server_gone(self.backend.pool):
@@ -550,7 +545,7 @@
                 self.remove_server()
                 service = objects.ServiceName(job.start.service)
                 await self.crash_tracker.report_crash(
-                    service, fingerprints, job.is_exclusive
+                    service, running_requests, job.is_exclusive
                 )
         self._metrics.count_refusal(reason)
         self._log.info(
@@ -564,11 +559,14 @@
         )
         job.end(messages.AttemptFailed, reason, self.load())
 
-    def _running_fingerprints(self) -> list[quarantine.Fingerprint]:
+    def _running_fingerprints(
+        self,
+    ) -> list[tuple[quarantine.Fingerprint, ...]]:
         return [
-            quarantine.Fingerprint(self._jobs[attempt].start.fingerprint)
+            fingerprints
             for attempt in self._running
-            if attempt in self._jobs and self._jobs[attempt].start.fingerprint
+            if attempt in self._jobs
+            and (fingerprints := self._jobs[attempt].fingerprints)
         ]
 
     def _start_queued(self) -> None:
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -91,6 +91,12 @@
             return []
         return [(self.expected_instance, instance.encode())]
 
+    def caller_of(self, headers: messages.Headers) -> bytes:
+        """Return the caller that the sender's node named, empty if none."""
+        if self.caller_service is None:
+            return b''
+        return http_headers.value_of(headers, self.caller_service) or b''
+
     def request_id_of(self, headers: messages.Headers) -> bytes | None:
         """Return the request id in the headers, if there is one."""
         if self.request_id is None:
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -16,6 +16,7 @@
 from jayflow.connection import messages
 from jayflow.connection import sockets
 from jayflow.request import outcome
+from jayflow.request import quarantine
 
 STALL_TIMEOUT_S = 30.0
 # Pause in a transfer after which the job checks whether its sender is gone.
@@ -43,6 +44,7 @@
         self.reply = reply
         self.running_at_start = 0
         self.slowness_at_start = 1.0
+        self.fingerprints: tuple[quarantine.Fingerprint, ...] = ()
         self.is_suspect = False
         self.is_exclusive = False
         self.is_closed = False
--- a/jayflow/request/quarantine.py
+++ b/jayflow/request/quarantine.py
@@ -10,9 +10,12 @@
 Counted crashes: a suspect runs together with other requests, and is
 quarantined after a number of crashes if it never ended without a crash in
 between. This leaves the server's other slots in use, but takes some more
-crashes.
+crashes. Crashes are counted for the request as it was sent, and for all
+requests that share its path, caller and body: a request that comes again with
+another query or over another route still crashes its server.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 import hashlib
@@ -50,6 +53,21 @@
     return Fingerprint(hasher.digest())
 
 
+def path_fingerprint(
+    host: bytes, target: bytes, caller: bytes, body: bytes
+) -> Fingerprint:
+    """Return the digest that requests with the same path have in common.
+
+    The query, the method and the service are left out.
+    """
+    hasher = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=b'path')
+    path = target.partition(b'?')[0]
+    for part in (host.lower(), path, caller, body):
+        hasher.update(len(part).to_bytes(8, 'big'))
+        hasher.update(part)
+    return Fingerprint(hasher.digest())
+
+
 class Quarantine:
     """Keep suspect and quarantined requests, each for a limited time."""
 
@@ -63,6 +81,16 @@
             return QuarantineState.FREE
         return record.state
 
+    def worst_state_of(
+        self, digests: Iterable[Fingerprint], now: float
+    ) -> QuarantineState:
+        """Return the state of a request that has several fingerprints."""
+        states = {self.state_of(digest, now) for digest in digests}
+        for state in (QuarantineState.QUARANTINED, QuarantineState.SUSPECT):
+            if state in states:
+                return state
+        return QuarantineState.FREE
+
     def mark_suspects(self, digests: list[Fingerprint], now: float) -> None:
         """Mark the requests that were running in a crash as suspects."""
         for digest in digests:
--- a/tests/process/test_crash_broadcast.py
+++ b/tests/process/test_crash_broadcast.py
@@ -101,7 +101,10 @@
             # Two requests broke in the same crash.
             for _ in range(2):
                 tasks.start_soon(
-                    tracker.report_crash, SERVICE, frozenset({DIGEST}), False
+                    tracker.report_crash,
+                    SERVICE,
+                    frozenset({(DIGEST,)}),
+                    False,
                 )
         self.assertEqual(0, len(table))
         return anyio.current_time() - started_at, peer
