Report a crash also to nodes that have no server at the moment

Cause: a crash was reported to nodes that served the same service at that moment. A node whose own server had just crashed serves nothing until the next announcement, so it missed the crashes in between and let the request run again, up to two times more for each such node. A version that routes the path to another service had the same effect.

--- a/jayflow/process/crash_broadcast.py
+++ b/jayflow/process/crash_broadcast.py
@@ -1,7 +1,9 @@
 """Report crashes of the backend server to other nodes.
 
-The reports go to the nodes whose servers serve the same services, since
-the request that caused the crash may be sent to them next.
+The reports go to the nodes that may get the request that caused the crash:
+those of the same services, and those that have no server at the moment, since
+the same request may have crashed it. In a small fleet they go to all nodes,
+as a new version may route the request to another service.
 """
 
 from collections.abc import Callable
@@ -41,7 +43,7 @@
         self._channel_to = channel_to
 
     async def broadcast(self, report: messages.CrashReport) -> None:
-        """Send a report to the other nodes that serve the same services.
+        """Send a report to the other nodes that may get the request.
 
         Returns once each of them has acknowledged the report of a crash. One
         that clears suspects is only sent: until it arrives, they run alone.
@@ -49,16 +51,19 @@
         them either.
         """
         now = time.monotonic()
-        views_by_node = {
-            view.member.node: view
-            for service in self._backend.services
-            for view in self._directory.peer_views_of(service)
-            if view.member.node != self._node and not view.is_silent(now)
-        }
         send = self._send_until_acknowledged if report.crash else self._send
         async with anyio.create_task_group() as tasks:
-            for view in views_by_node.values():
-                tasks.start_soon(send, view, report)
+            for view in self._directory.peer_views():
+                if self._may_get_request(view) and not view.is_silent(now):
+                    tasks.start_soon(send, view, report)
+
+    def _may_get_request(self, view: routing.PeerView) -> bool:
+        services = view.member.services
+        return view.member.node != self._node and (
+            self._directory.is_full_mesh
+            or not services
+            or not set(services).isdisjoint(self._backend.services)
+        )
 
     async def _send(
         self, view: routing.PeerView, report: messages.CrashReport
--- a/tests/process/test_crash_broadcast.py
+++ b/tests/process/test_crash_broadcast.py
@@ -29,13 +29,16 @@
 ]
 
 
-# Title, services and whether it drains of a member, and whether it hears of
-# the crash: a member without a server will have one again.
+# Title, services of a member and whether it drains, other members, and whether
+# it hears of the crash. A member without a server will have one again.
 AUDIENCE_CASES = [
-    ('serves the service', (SERVICE,), False, True),
-    ('its server drains', (SERVICE,), True, True),
-    ('its own server has crashed', (), False, True),
-    ('serves another service', ('other',), False, False),
+    ('serves the service', (SERVICE,), False, 0, True),
+    ('its server drains', (SERVICE,), True, 0, True),
+    ('its own server has crashed', (), False, 0, True),
+    ('serves another service', ('other',), False, 0, True),
+    ('serves the service in a large fleet', (SERVICE,), False, 30, True),
+    ('has no server in a large fleet', (), False, 30, True),
+    ('serves another service there', ('other',), False, 30, False),
 ]
 
 
@@ -121,7 +124,7 @@
                     self.assertIs(quarantine.QuarantineState.SUSPECT, state)
 
     def test_a_node_whose_server_is_down_hears_of_later_crashes(self):
-        async def main(loop, services, is_draining):
+        async def main(loop, services, is_draining, others):
             peer = FakePeer([0.0], loop)
             table = exchanges.ExchangeTable(
                 messages.Incarnation(1), metrics_module.Metrics()
@@ -135,6 +138,12 @@
                     'n2', 'a', services=services, draining=is_draining
                 )
             )
+            for other in range(others):
+                directory.put(
+                    test_member_directory.member(
+                        f'other-{other}', 'a', services=('other',)
+                    )
+                )
             await crash_broadcast.CrashBroadcaster(
                 messages.NodeId('n1'),
                 FakeBackend(),
@@ -144,12 +153,10 @@
             ).broadcast(messages.CrashReport('c1', [DIGEST], 5000))
             return peer.tracker.quarantine.state_of(DIGEST, 0.0)
 
-        for title, services, is_draining, is_told in AUDIENCE_CASES:
+        for title, *case, is_told in AUDIENCE_CASES:
             with self.subTest(title):
                 state = self.run_virtual(
-                    lambda loop, services=services, is_draining=is_draining: (
-                        main(loop, services, is_draining)
-                    )
+                    lambda loop, case=case: main(loop, *case)
                 )
                 self.assertEqual(
                     is_told, state is quarantine.QuarantineState.SUSPECT
