Name in a crash report all requests that ran until the crash

What callers would see: further 502s, since a request that crashes servers is missing from a report (same class as the incident; found by reading, not seen in its logs).

Cause: what ran was recorded when the first connection of a 0.5 s window broke. If that connection broke for another reason, the report of a crash within the window named what had run before. A second crash in the window, by a server that is replaced at once, was not reported at all.

Change: the set grows with each connection that breaks in the window, and a window belongs to one start of a server.

Evidence: with servers replaced at once, test_crashed_server fails without the change (6 crashes, 3 allowed); the new table in test_crash_tracker calls the changed function, so its cases could not run on the old code.

--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -63,6 +63,7 @@
         self._log = logs.get_logger(logs.Component.EXECUTOR)
         self._running_at_crash: RunningRequests = frozenset()
         self._window_end = 0.0
+        self._window_server: messages.ServerIncarnation | None = None
         self._reported: anyio.Event | None = None
         self._handled: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_CRASHES
@@ -96,14 +97,21 @@
         return self.quarantine.worst_state_of(fingerprints, self._clock())
 
     def running_at_crash(
-        self, running: Iterable[tuple[quarantine.Fingerprint, ...]]
+        self,
+        server: messages.ServerIncarnation,
+        running: Iterable[tuple[quarantine.Fingerprint, ...]],
     ) -> RunningRequests:
-        """Return what ran when the first request of this crash broke."""
+        """Return what has run since the first request of this crash broke.
+
+        The first one to break may have had another reason.
+        """
         now = self._clock()
-        if now >= self._window_end:
+        if now >= self._window_end or server != self._window_server:
             self._window_end = now + CRASH_WINDOW_S
+            self._window_server = server
             self._reported = None
-            self._running_at_crash = frozenset(running)
+            self._running_at_crash = frozenset()
+        self._running_at_crash |= frozenset(running)
         return self._running_at_crash
 
     async def report_crash(
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -538,7 +538,7 @@
             and not job.head_received_at
         ):
             running_requests = self.crash_tracker.running_at_crash(
-                self._running_fingerprints()
+                job.server, self._running_fingerprints()
             )
             if await crash_tracker.is_server_gone(self.backend.pool):
                 reason = Reason.SERVER_CRASHED
--- a/tests/request/test_crash_tracker.py
+++ b/tests/request/test_crash_tracker.py
@@ -1,4 +1,8 @@
-"""Check what a node logs of crashes that it hears of."""
+"""Check which requests a node reports in a crash, and what it logs of crashes.
+
+A connection that broke for another reason just before a crash once fixed the
+set of requests that the report named, without the one that was the cause.
+"""
 
 import unittest
 from unittest import mock
@@ -22,6 +26,49 @@
 ]
 
 
+FIRST_SERVER = messages.ServerIncarnation('i1', 1)
+SECOND_SERVER = messages.ServerIncarnation('i2', 2)
+# Title, connections that break (time in s, server, requests that run), and
+# the requests named at the last one.
+BREAK_CASES = [
+    (
+        'several connections break in one crash',
+        [(0.0, FIRST_SERVER, 'ab'), (0.1, FIRST_SERVER, 'b')],
+        'ab',
+    ),
+    (
+        'another connection broke shortly before',
+        [(0.0, FIRST_SERVER, 'a'), (0.4, FIRST_SERVER, 'b')],
+        'ab',
+    ),
+    (
+        'the next server crashes at once',
+        [(0.0, FIRST_SERVER, 'a'), (0.4, SECOND_SERVER, 'b')],
+        'b',
+    ),
+    (
+        'a later crash',
+        [(0.0, FIRST_SERVER, 'a'), (0.6, FIRST_SERVER, 'b')],
+        'b',
+    ),
+]
+
+
+class RunningAtCrashTest(unittest.TestCase):
+    def test_a_crash_report_names_what_ran_when_the_server_crashed(self):
+        for title, breaks, expected in BREAK_CASES:
+            with self.subTest(title):
+                times = iter([at for at, _, _ in breaks])
+                tracker = crash_tracker.CrashTracker(
+                    metrics_module.Metrics(), times.__next__, 2
+                )
+                for _, server, running in breaks:
+                    named = tracker.running_at_crash(
+                        server, [(name,) for name in running]
+                    )
+                self.assertEqual({(name,) for name in expected}, set(named))
+
+
 class CrashLogTest(unittest.TestCase):
     def test_counts_and_cleared_suspects_are_logged(self):
         with mock.patch.object(crash_tracker.logs, 'get_logger') as get_logger:
--- a/tests/request/test_crashed_server.py
+++ b/tests/request/test_crashed_server.py
@@ -64,8 +64,6 @@
         crashes = 0
         for count in range(SENT):
             await self._start_server(executor, count)
-            # Each crash is one of its own, however soon it follows.
-            executor.crash_tracker._window_end = 0.0
             target, replies = target_of(count), []
             executor.handle(
                 test_executor.start(
