Do not clear a suspect because its server answered with an error

Cause: any complete response cleared a suspect, a 500 as well.

Change: only a response below 500 clears it. The statuses of server errors are tested in one place.

Evidence: test_crashed_server, 'an error of the server': 5 crashes before, 3 after.

--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -13,6 +13,7 @@
 from jayflow.connection import sockets
 from jayflow.request import caller_request
 from jayflow.request import exchange as exchanges
+from jayflow.request import header_dialect
 from jayflow.request import outcome
 from jayflow.request import response as responses
 from jayflow.request import routing
@@ -25,7 +26,6 @@
 REVOKE_TIMEOUT_S = 0.25
 CREDIT_TIMEOUT_S = 30.0
 BUDGET_RETRY_INTERVAL_S = 0.02
-FIRST_SERVER_ERROR_STATUS = 500
 # Refusals after which the receiver is avoided for a cooldown period.
 _COOLDOWN_REASONS = frozenset(
     {
@@ -128,7 +128,7 @@
         response = responses.Response(
             head, self._exchange, self._view.member.node, self.end
         )
-        is_error = head.status >= FIRST_SERVER_ERROR_STATUS
+        is_error = header_dialect.is_server_error(head.status)
         if is_error or head.status in responses.SHED_STATUSES:
             self._view.record_failure(now, response.retry_after_s)
         else:
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -406,7 +406,7 @@
         also updates the work estimates.
         """
         await response.buffer_body(MAX_BUFFERED_BYTES)
-        if response.status >= attempts.FIRST_SERVER_ERROR_STATUS:
+        if header_dialect.is_server_error(response.status):
             return
         slowness = max(slowness_at_start, view.slowness(time.monotonic()))
         self._estimates.record(
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -483,7 +483,8 @@
             return self._load_for(job)
 
         await job.exchange(conn, check_head, load)
-        if job.is_suspect:
+        # A server that fails may not have come to what crashes others.
+        if job.is_suspect and not header_dialect.is_server_error(conn.status):
             await self.crash_tracker.report_cleared(job.fingerprints)
 
     def _check_head(
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -16,6 +16,7 @@
 RATE_LIMIT_HEADER = b'jayflow-rate-limit'
 LEAVING_HEADER = b'jayflow-leaving'
 SHED_STATUSES = frozenset({429, 503})
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 class ResponseKind(enum.Enum):
@@ -104,4 +105,9 @@
         return http_headers.value_of(headers, self.request_id)
 
 
+def is_server_error(status: int) -> bool:
+    """Return whether a status says that the server failed."""
+    return status >= FIRST_SERVER_ERROR_STATUS
+
+
 DEFAULT_DIALECT = HeaderDialect()
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -36,7 +36,6 @@
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_VERSION_WAIT_S = 2.0
 FIRST_VERSION_POLL_S = 0.02
-FIRST_SERVER_ERROR_STATUS = 500
 FIRST_BODY_BYTES = messages.MAX_PART_BYTES
 
 
@@ -166,7 +165,7 @@
             self._metrics.count_event(metrics_module.Event.LATE_RESPONSE)
         if (
             ended == 'answered'
-            and status < FIRST_SERVER_ERROR_STATUS
+            and not header_dialect.is_server_error(status)
             and not is_late
         ):
             return
--- a/tests/request/test_crashed_server.py
+++ b/tests/request/test_crashed_server.py
@@ -19,6 +19,9 @@
 
 MAX_CRASHES = 3
 SENT = 6
+# Title, the status with which a server answers the request after two crashes,
+# and how many servers crash in all.
+ERROR_CASES = [('an error of the server', 500, 3), ('a success', 200, 5)]
 CASES = [
     ('the same request', lambda count: b'/gallery/7'),
     ('another query each time', lambda count: b'/gallery/7?page=%d' % count),
@@ -33,6 +36,13 @@
     async def _crash_server(self, reader, writer) -> None:
         """Read a request, stop listening and close the connection."""
         await reader.readuntil(b'\r\n\r\n')
+        self.served += 1
+        if self.served == self.answered_request:
+            writer.write(
+                b'HTTP/1.1 %d X\r\njayflow-request-id: a\r\n'
+                b'jayflow-server-signature: b\r\n'
+                b'content-length: 0\r\n\r\n' % self.answer_status
+            )
         self.listener.close()
         writer.close()
 
@@ -53,8 +63,13 @@
             )
         )
 
-    async def _count_crashes(self, target_of) -> int:
-        """Send a request again after each crash; return the crashes."""
+    async def _count_crashes(self, target_of, answer_status=0) -> int:
+        """Send a request again after each crash; return the crashes.
+
+        With an answer_status, the third server does not crash.
+        """
+        self.served, self.answer_status = 0, answer_status
+        self.answered_request = 3 if answer_status else 0
         executor = executors.Executor(
             test_executor.INCARNATION,
             metrics_module.Metrics(),
@@ -80,7 +95,7 @@
                     await anyio.sleep(0.005)
             if isinstance(replies[0], messages.AttemptFailed):
                 crashes += 1
-            else:
+            elif isinstance(replies[0], messages.Refused):
                 self.assertEqual(
                     outcome.Reason.QUARANTINED.value, replies[0].reason
                 )
@@ -92,3 +107,11 @@
                 self.assertEqual(
                     MAX_CRASHES, await self._count_crashes(target_of)
                 )
+
+    async def test_an_error_of_a_server_does_not_clear_a_suspect(self):
+        for title, status, expected in ERROR_CASES:
+            with self.subTest(title):
+                crashes = await self._count_crashes(
+                    lambda count: b'/gallery/7', status
+                )
+                self.assertEqual(expected, crashes)
