Let a node whose server starts ask its peers about crashing requests

Cause: crashes were counted only in the memory of the nodes that ran at the time and got the report.

Crashes have ids, so that a report that arrives after the answer is not counted twice.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -336,6 +336,33 @@
     attempt: AttemptId | None = None
 
 
+class CrashRecord(msgspec.Struct, array_like=True):
+    """State what a node knows of a request that may crash servers.
+
+    `crashes` is 0 where crashes are not counted; the record is valid for
+    `remaining_ms` more.
+    """
+
+    fingerprint: bytes
+    is_quarantined: bool
+    crashes: int
+    remaining_ms: int
+
+
+class CrashQuery(msgspec.Struct, array_like=True, tag='F'):
+    """Ask for the requests that are known to crash servers."""
+
+    attempt: AttemptId
+
+
+class CrashAnswer(msgspec.Struct, array_like=True, tag='I'):
+    """Answer a CrashQuery; `crashes` names those that are counted."""
+
+    attempt: AttemptId
+    records: list[CrashRecord]
+    crashes: list[str]
+
+
 class CrashAck(msgspec.Struct, array_like=True, tag='A'):
     """Confirm that a crash report was handled."""
 
@@ -355,6 +382,7 @@
     | KeyedResultQuery
     | ClaimQuery
     | CrashReport
+    | CrashQuery
 )
 PeerReply = (
     Refused
@@ -369,6 +397,7 @@
     | KeyedResultAnswer
     | ClaimAnswer
     | CrashAck
+    | CrashAnswer
     | Credit
 )
 
--- a/jayflow/process/crash_broadcast.py
+++ b/jayflow/process/crash_broadcast.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import contextlib
 import time
 
@@ -19,12 +20,31 @@
 from jayflow.request import backend_server
 from jayflow.request import exchange as exchanges
 from jayflow.request import routing
+from jayflow.version import objects
 
 ChannelTo = Callable[[routing.PeerView, messages.Lane], exchanges.PeerChannel]
 # A report is sent again after this time without an acknowledgement.
 RESEND_INTERVAL_S = 0.1
 
 
+def related_peers(
+    node: messages.NodeId,
+    services: Collection[objects.ServiceName],
+    directory: member_directory.MemberDirectory,
+) -> list[routing.PeerView]:
+    """Return the other nodes that may get a request for these services."""
+    return [
+        view
+        for view in directory.peer_views()
+        if view.member.node != node
+        and (
+            directory.is_full_mesh
+            or not view.member.services
+            or not set(view.member.services).isdisjoint(services)
+        )
+    ]
+
+
 class CrashBroadcaster:
     """Send crash reports to the nodes that may get the request next."""
 
@@ -53,18 +73,12 @@
         now = time.monotonic()
         send = self._send_until_acknowledged if report.crash else self._send
         async with anyio.create_task_group() as tasks:
-            for view in self._directory.peer_views():
-                if self._may_get_request(view) and not view.is_silent(now):
+            for view in related_peers(
+                self._node, self._backend.services, self._directory
+            ):
+                if not view.is_silent(now):
                     tasks.start_soon(send, view, report)
 
-    def _may_get_request(self, view: routing.PeerView) -> bool:
-        services = view.member.services
-        return view.member.node != self._node and (
-            self._directory.is_full_mesh
-            or not services
-            or not set(services).isdisjoint(self._backend.services)
-        )
-
     async def _send(
         self, view: routing.PeerView, report: messages.CrashReport
     ) -> None:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -25,6 +25,7 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.process import crash_broadcast
+from jayflow.process import crash_recovery
 from jayflow.process import environment as environments
 from jayflow.process import link_budgets
 from jayflow.process import live_settings
@@ -239,6 +240,15 @@
                 self._channel_to,
             ).broadcast
         )
+        self._crash_recovery = crash_recovery.CrashRecovery(
+            cfg.name,
+            self._executor.backend,
+            self._executor.crash_tracker,
+            self._directory,
+            self._exchange_table,
+            self._channel_to,
+            self._rng,
+        )
         self._executor.crash_tracker.quarantine_duration_s = (
             self._quarantine_duration_s
         )
@@ -323,6 +333,7 @@
                 self._close_idle_connections,
                 self._publisher.run,
                 self._load_poller.run,
+                self._crash_recovery.run,
                 self._subscriptions.run,
                 caller_server.serve,
                 announcement_server.serve,
@@ -627,6 +638,7 @@
     def _on_own_member_change(self) -> None:
         self._directory.put(self._describe_self())
         self._member_writer.notify()
+        self._crash_recovery.notify()
         self._publisher.publish()
 
 
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -62,6 +62,11 @@
         self._cold_start_until = 0.0
         self._log = logs.get_logger(logs.Component.EXECUTOR)
 
+    @property
+    def incarnation(self) -> messages.ServerIncarnation | None:
+        """Return the last server that announced itself, even if it is gone."""
+        return self._incarnation
+
     @property
     def slots(self) -> int:
         """Return how many requests the server may run at once."""
--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -33,6 +33,8 @@
 MAX_REMEMBERED_CRASHES = 256
 # Requests that break within this time belong to the same crash.
 CRASH_WINDOW_S = 0.5
+# Requests in one answer to a node that has just got a server.
+MAX_SENT_RECORDS = 1000
 # A log line holds this many fingerprints at most.
 MAX_LOGGED_FINGERPRINTS = 50
 
@@ -195,6 +197,29 @@
             ],
         )
 
+    def answer(self, query: messages.CrashQuery) -> messages.CrashAnswer:
+        """Return what is known of requests that crash servers."""
+        records = self.quarantine.export(self._clock(), MAX_SENT_RECORDS)
+        return messages.CrashAnswer(
+            query.attempt, records, list(self._handled)
+        )
+
+    def merge(self, answer: messages.CrashAnswer) -> None:
+        """Add what another node knows.
+
+        A crash that it has counted is not counted again when its report
+        arrives here.
+        """
+        if answer.records:
+            self._log.info(
+                'Crashes known to a peer are recorded.',
+                records=len(answer.records),
+            )
+        self.quarantine.merge(answer.records, self._clock())
+        self._handled.extend(
+            crash for crash in answer.crashes if crash not in self._handled
+        )
+
     async def _broadcast(self, report: messages.CrashReport) -> None:
         self.handle_report(report)
         with anyio.move_on_after(BROADCAST_TIMEOUT_S):
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -275,6 +275,8 @@
                 self.crash_tracker.handle_report(message)
                 if message.attempt is not None:
                     reply(messages.CrashAck(message.attempt))
+            case messages.CrashQuery():
+                reply(self.crash_tracker.answer(message))
 
     def _handle_start(self, start: messages.Start, reply: Reply) -> None:
         result = self._attempt_registry.admit(start.attempt, start.receiver)
--- a/jayflow/request/quarantine.py
+++ b/jayflow/request/quarantine.py
@@ -19,8 +19,12 @@
 import dataclasses
 import enum
 import hashlib
+import itertools
 from typing import NewType
 
+from jayflow.connection import messages
+
+Record = messages.CrashRecord
 Fingerprint = NewType('Fingerprint', bytes)
 FINGERPRINT_BYTES = 12
 MAX_FINGERPRINTS = 10_000
@@ -142,6 +146,41 @@
             return str(record.crashes)
         return record.state.value
 
+    def export(self, now: float, max_records: int) -> list[Record]:
+        """Return the newest records, to be merged by another node."""
+        newest = itertools.islice(reversed(self._records.items()), max_records)
+        return [
+            messages.CrashRecord(
+                digest,
+                record.state is QuarantineState.QUARANTINED,
+                record.crashes,
+                round((record.expires_at - now) * 1000),
+            )
+            for digest, record in newest
+            if record.expires_at > now
+        ]
+
+    def merge(self, records: list[Record], now: float) -> None:
+        """Add another node's records; the worse state of a request wins."""
+        for row in records:
+            digest = Fingerprint(row.fingerprint)
+            expires_at = now + row.remaining_ms / 1000
+            state = self.state_of(digest, now)
+            if state is QuarantineState.QUARANTINED:
+                continue
+            known = (
+                self._records.get(digest)
+                if state is not (QuarantineState.FREE)
+                else None
+            )
+            if row.is_quarantined:
+                self.add(digest, expires_at)
+            elif known is None or known.crashes < row.crashes:
+                self._put(
+                    digest,
+                    _Record(QuarantineState.SUSPECT, expires_at, row.crashes),
+                )
+
     def expire(self, now: float) -> None:
         """Drop the records that have expired."""
         self._records = {
