--- a/jayflow/emulator/metadata_store.py
+++ b/jayflow/emulator/metadata_store.py
@@ -24,6 +24,16 @@
         super().__init__(store)
         self.max_page_items = MAX_PAGE_ITEMS
         self.oldest_revision = api.ABSENT
+        self.era = 1
+
+    def copy(self) -> platform.StoreCopy:
+        """Return a copy of the store, from which it can be restored."""
+        return self._store.copy()
+
+    def restore(self, copy: platform.StoreCopy) -> None:
+        """Restore the store from a copy, which begins a new era."""
+        self._store.restore(copy)
+        self.era += 1
 
     def drop_history(self) -> None:
         """Drop the changes so far; a watch from an older revision gets 410."""
@@ -36,6 +46,9 @@
         if entry is not None:
             self._store.delete(key, entry.revision)
 
+    def _response_headers(self):
+        return [(b'store-era', str(self.era).encode())]
+
     async def _call(self, method, path, query, headers, body):
         del headers
         kind, _, name = path.removeprefix(OBJECTS_PATH).partition('/')
--- a/jayflow/emulator/platform.py
+++ b/jayflow/emulator/platform.py
@@ -38,6 +38,9 @@
     LOST_RESPONSE = 'lost-answer'
 
 
+StoreCopy = tuple[api.Revision, dict[str, api.Entry]]
+
+
 class ConflictError(Exception):
     """Report an object whose revision is not the expected one."""
 
@@ -79,6 +82,17 @@
         tombstone = api.Entry(key, b'', self.revision)
         self._append_change(api.Change(api.ChangeKind.DELETE, tombstone))
 
+    def copy(self) -> StoreCopy:
+        """Return the objects and the revision as they are now."""
+        return self.revision, dict(self._entries)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an earlier copy; later revisions are given out again."""
+        self.revision, self._entries = copy[0], dict(copy[1])
+        self._changes.clear()
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def list(self, prefix: str) -> api.Listing:
         """Return the objects under a prefix."""
         entries = [
@@ -191,7 +205,11 @@
         if is_response_lost or self.fault is Fault.DOWN:
             await _send_truncated(send)
             return
-        await _send(send, status, value, revision)
+        await _send(send, status, value, revision, self._response_headers())
+
+    def _response_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that all responses have."""
+        return []
 
     async def _call(self, method, path, query, headers, body):
         prefix = query.get('prefix', '')
@@ -248,10 +266,13 @@
     return bytes(body)
 
 
-async def _send(send, status, body=b'', revision=None) -> None:
+async def _send(
+    send, status, body=b'', revision=None, extra_headers=()
+) -> None:
     headers = [(b'content-length', str(len(body)).encode())]
     if status == 204:
         headers = []
+    headers += extra_headers
     if revision is not None:
         headers.append((b'etag', b'"%d"' % revision))
     start = {
