Recover what the store lost when it was restored from a copy

What callers would see: a confirmed change that is not in force until the next list, up to 60 s later, and servers that drain or have left in use again (CONFIG, DRAIN).

Cause: nodes took the store's revisions for one order for ever and its records for the newest there are. Class: state derived from a store that is trusted to keep what it acknowledged.

Change: lists and changes carry the store's era. A new era makes a watcher list again; older records of the same incarnation do not replace known ones; members whose record is missing or another one read and write it again, and are removed if it is still missing after 2 s.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -157,9 +157,14 @@
 
 
 class MemberMissing(msgspec.Struct, array_like=True, tag='N'):
-    """Tell a node that its membership record is not in the platform."""
+    """Tell a node that its membership record is not in the platform.
+
+    With `must_read`, what the platform holds may differ from what the node
+    wrote last, whatever that was.
+    """
 
     attempt: AttemptId
+    must_read: bool = False
 
 
 class StatusQuery(msgspec.Struct, array_like=True, tag='Q'):
--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -25,9 +25,14 @@
 from jayflow.version import value_parsers
 
 Revision = NewType('Revision', int)
+# Rises when the platform is restored from a copy: revisions of different eras
+# can't be compared.
+Era = NewType('Era', int)
 Result = TypeVar('Result')
 
 ABSENT = Revision(0)
+# The era of a platform that names none.
+ONLY_ERA = Era(0)
 BURST_S = 10.0
 BACKOFF_BASE_S = 0.1
 BACKOFF_MAX_S = 10.0
@@ -99,6 +104,7 @@
 
     entries: list[Entry]
     revision: Revision
+    era: Era = ONLY_ERA
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -106,6 +112,7 @@
 
     changes: list[Change]
     revision: Revision
+    era: Era = ONLY_ERA
 
 
 class Platform(Protocol):
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -54,6 +54,7 @@
     CONFIG_REJECTED = 'config_rejected'
     PLATFORM_CALL = 'platform_call'
     PLATFORM_FAILED = 'platform_failed'
+    PLATFORM_RESTORED = 'platform_restored'
     CONTROL_SENT_BYTES = 'control_sent_bytes'
     CONTROL_RECEIVED_BYTES = 'control_received_bytes'
     PLATFORM_RATE_LIMITED = 'platform_budget'
--- a/jayflow/platform/metadata_store.py
+++ b/jayflow/platform/metadata_store.py
@@ -23,6 +23,7 @@
 # A write that gets one of these server errors has certainly not taken effect.
 NOT_APPLIED_STATUSES = (503,)
 TOO_MANY_REQUESTS = 429
+MAX_ERA_DIGITS = 18
 
 
 class _Metadata(msgspec.Struct):
@@ -105,9 +106,12 @@
         """Return the objects under a prefix, which maps to one kind."""
         kind, _ = _kind_and_name(prefix)
         entries: list[api.Entry] = []
-        revision, after = None, ''
+        revision, era, after = None, None, ''
         while True:
-            page = await self._fetch_page(kind, after)
+            page, page_era = await self._fetch_page(kind, after)
+            if era not in (None, page_era):
+                raise api.UnavailableError('the store was restored meanwhile')
+            era = page_era
             # A watch from the first page's revision also returns the changes
             # made while the other pages were read.
             revision = revision or api.Revision(page.store_revision)
@@ -115,7 +119,7 @@
                 _entry(_platform_key(kind, item), item) for item in page.items
             ]
             if not page.has_more or not page.items:
-                return api.Listing(entries, revision)
+                return api.Listing(entries, revision, era)
             after = page.items[-1].metadata.name
 
     async def watch(
@@ -136,19 +140,22 @@
         return api.Changes(
             [_change(kind, event) for event in batch.events],
             api.Revision(batch.store_revision),
+            _era(response),
         )
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
 
-    async def _fetch_page(self, kind: str, after: str) -> _Listing:
+    async def _fetch_page(
+        self, kind: str, after: str
+    ) -> tuple[_Listing, api.Era]:
         query = f'?after={urllib.parse.quote(after)}' if after else ''
         response = await self._client.call(
             'GET', f'{protocol.OBJECTS_PATH}{kind}{query}'
         )
         _check(response)
-        return _decode(response.body, _Listing)
+        return _decode(response.body, _Listing), _era(response)
 
     async def _write(self, method: str, path: str, body: bytes):
         response = await self._client.write(
@@ -206,6 +213,16 @@
         raise api.UnavailableError(f'response is malformed: {exc}') from exc
 
 
+def _era(response: api.Response) -> api.Era:
+    """Return the era that a response names; UnavailableError if malformed."""
+    for name, value in response.headers:
+        if name.lower() == protocol.STORE_ERA:
+            if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+                raise api.UnavailableError(f'era of the store is {value!r}')
+            return api.Era(int(value))
+    return api.ONLY_ERA
+
+
 def _check(response: api.Response) -> None:
     if response.status == TOO_MANY_REQUESTS:
         raise api.UnavailableError('the rate limit is exceeded')
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -14,6 +14,8 @@
 CALLER_SERVICE = b'jayflow-caller-service'
 CONTENT_ENCODING = b'content-encoding'
 
+STORE_ERA = b'store-era'
+
 HEARTBEAT_PATH = '/Instances.Heartbeat/'
 DEREGISTER_PATH = '/Instances.Deregister/'
 
--- a/jayflow/process/member_writer.py
+++ b/jayflow/process/member_writer.py
@@ -47,9 +47,12 @@
         self._stored = entry
         self._is_stored_known = True
 
-    def mark_missing(self) -> None:
-        """Signal that the record is missing from the platform."""
-        if self._stored is not None:
+    def mark_missing(self, must_read: bool = False) -> None:
+        """Signal that the record is missing from the platform.
+
+        With must_read it may also hold a record that was deleted.
+        """
+        if must_read or self._stored is not None:
             self._is_stored_known = False
             self.notify()
 
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -113,7 +113,7 @@
                 encoded = self._handlers.active_version.encoded
                 reply(messages.VersionAnswer(attempt, encoded))
             case messages.MemberMissing():
-                self._handlers.member_writer.mark_missing()
+                self._handlers.member_writer.mark_missing(message.must_read)
             case messages.StatusQuery(attempt):
                 status = self._handlers.status_reporter.status()
                 reply(messages.Status(attempt, status))
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -383,6 +383,7 @@
         if members.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_listed = self._restore_record
         platform_watcher.on_member_missing = self._on_member_missing
+        platform_watcher.on_restored = self._on_platform_restored
         platform_watcher.on_member_update = self._broadcast_member_update
         if self._environment.elects_watchers:
             platform_watcher.is_watcher = self._check_is_watcher
@@ -407,11 +408,19 @@
             )
         return self._is_watcher
 
-    def _on_member_missing(self, node: messages.NodeId) -> None:
+    def _on_member_missing(
+        self, node: messages.NodeId, must_read: bool
+    ) -> None:
         if node == self._cfg.name:
-            self._member_writer.mark_missing()
+            self._member_writer.mark_missing(must_read)
         else:
-            self._subscriptions.notify_missing(node)
+            self._subscriptions.notify_missing(node, must_read)
+
+    def _on_platform_restored(self, era: api.Era) -> None:
+        """Check the own record, and list again below all prefixes."""
+        self._member_writer.mark_missing(must_read=True)
+        for platform_watcher in self._platform_watchers:
+            platform_watcher.expect_era(era)
 
     def _broadcast_member_update(self, update: messages.MemberUpdate) -> None:
         """Send an update of a member to the subscribers.
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -21,6 +21,7 @@
 from jayflow import metrics as metrics_module
 from jayflow.process import member_directory
 from jayflow.process import platform_pauses
+from jayflow.process import restored_records
 from jayflow.version import snapshot
 
 WATCH_PREFIX = 'live/'
@@ -36,6 +37,8 @@
 # A node that is not a watcher first lists again after this time, because nodes
 # that start together write their objects within the first few seconds.
 FIRST_RELIST_DELAY_S = 3.0
+# Time for the members to write their records again after a restore.
+RESTORE_RECOVERY_S = 2.0
 
 DecodeVersion = Callable[[bytes], snapshot.Version] | None
 
@@ -44,8 +47,9 @@
     """Apply the objects below a prefix of the platform, and their changes.
 
     The callbacks report what the node has to pass on: a member that the
-    platform doesn't list, a changed member, that calls succeed again after
-    failures, and the objects of each list.
+    platform doesn't list (with whether it has to read its record, as the one
+    that is listed may be old), a changed member, that calls succeed again
+    after failures, a new era of the platform, and the objects of each list.
     """
 
     def __init__(
@@ -70,13 +74,14 @@
         self._pause = pause or platform_pauses.jittered_pause(rng)
         self._watch_delay_s = watch_delay_s
         self.is_watcher: Callable[[float], bool] = lambda now: True
-        self.on_member_missing: Callable[[messages.NodeId], None] = (
-            lambda node: None
+        self.on_member_missing: Callable[[messages.NodeId, bool], None] = (
+            lambda node, must_read: None
         )
         self.on_member_update: Callable[[messages.MemberUpdate], None] = (
             lambda update: None
         )
         self.on_reconnected: Callable[[], None] = lambda: None
+        self.on_restored: Callable[[api.Era], None] = lambda era: None
         self.on_listed: Callable[[list[api.Entry]], None] = lambda entries: (
             None
         )
@@ -93,6 +98,9 @@
         self._pending_manifest: snapshot.Manifest | None = None
         self._relist_after_s = first_relist_delay_s
         self.last_success_at = -math.inf
+        self._era: api.Era | None = None
+        self._is_restored = False
+        self._recheck_at = math.inf
 
     async def run(self) -> None:
         """List and watch until cancelled; an outage removes no object."""
@@ -141,6 +149,11 @@
         if self._call_scope is not None:
             self._call_scope.cancel()
 
+    def expect_era(self, era: api.Era) -> None:
+        """List again if the last call was answered in another era."""
+        if self._era != era:
+            self.relist()
+
     def _is_due(self, now: float) -> bool:
         """Return whether to call: as a watcher, or when a list is due.
 
@@ -163,17 +176,24 @@
 
     async def _list_or_watch(
         self, revision: api.Revision | None
-    ) -> api.Revision:
-        if revision is None:
+    ) -> api.Revision | None:
+        """Return the revision to watch from, None to list again."""
+        until_recheck_s = self._recheck_at - time.monotonic()
+        if revision is None or until_recheck_s <= 0:
             listing = await self._platform.list(self._prefix)
+            self._observe_era(listing.era)
             self._apply_listing(listing.entries)
             revision = listing.revision
             self._listed_at = time.monotonic()
             self._first_listed_at = min(self._first_listed_at, self._listed_at)
         else:
             batch = await self._platform.watch(
-                self._prefix, revision, self._watch_timeout_s
+                self._prefix,
+                revision,
+                min(self._watch_timeout_s, until_recheck_s),
             )
+            if self._observe_era(batch.era):
+                return None
             for change in batch.changes:
                 self._apply_change(change)
             revision = batch.revision
@@ -183,17 +203,68 @@
             await self._fetch_version(self._pending_manifest)
         return revision
 
+    def _observe_era(self, era: api.Era) -> bool:
+        """Return whether the platform was restored since the last call."""
+        is_new = self._era not in (None, era)
+        if is_new:
+            self._is_restored = True
+            self._metrics.count_event(metrics_module.Event.PLATFORM_RESTORED)
+            self._log.warning(
+                'Platform was restored from a copy.',
+                prefix=self._prefix,
+                era=era,
+                previous_era=self._era,
+            )
+        self._era = era
+        return is_new
+
     def _apply_listing(self, entries: list[api.Entry]) -> None:
+        if self._is_restored:
+            self._is_restored = False
+            self._apply_restored(entries)
+            return
         listed = {entry.key for entry in entries}
         now = time.monotonic()
         for member in self._directory.known_members():
             is_below_prefix = member.key.startswith(self._prefix)
             if is_below_prefix and member.key not in listed:
-                self._handle_missing(member.node, now)
+                if now < self._recheck_at < math.inf:
+                    self.on_member_missing(member.node, True)
+                else:
+                    self._handle_missing(member.node, now)
+        if now >= self._recheck_at:
+            self._recheck_at = math.inf
         for entry in entries:
             self._apply_entry(entry)
         self.on_listed(entries)
 
+    def _apply_restored(self, entries: list[api.Entry]) -> None:
+        """Apply a list whose records may be older than what is known.
+
+        Members whose record is not the known one are told to write it again;
+        those still missing after RESTORE_RECOVERY_S are removed.
+        """
+        known = {
+            member.key: member
+            for member in self._directory.known_members()
+            if member.key.startswith(self._prefix)
+        }
+        lost = restored_records.lost_members(known, entries)
+        for node in lost:
+            self.on_member_missing(node, True)
+        for entry in entries:
+            if not restored_records.is_older_copy(known, entry):
+                self._apply_entry(entry)
+        self._log.info(
+            'Records that a restored platform has lost.',
+            prefix=self._prefix,
+            listed=len(entries),
+            lost=len(lost),
+        )
+        self._recheck_at = time.monotonic() + RESTORE_RECOVERY_S
+        self.on_listed(entries)
+        self.on_restored(self._era)
+
     def _apply_change(self, change: api.Change) -> None:
         key = change.entry.key
         node = messages.NodeId(key.removeprefix(members.KEY_PREFIX))
@@ -215,7 +286,7 @@
         """
         self._directory.remove_if_not_heard(node, now)
         if self._directory.peer_view(node) is not None:
-            self.on_member_missing(node)
+            self.on_member_missing(node, False)
 
     def _apply_entry(self, entry: api.Entry) -> None:
         try:
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -366,11 +366,11 @@
             self._version_asked_at = now
             self._ask_for_version(view.member)
 
-    def notify_missing(self, node: messages.NodeId) -> None:
+    def notify_missing(self, node: messages.NodeId, must_read: bool) -> None:
         """Notify a node that its record is missing from the platform."""
         view = self._directory.peer_view(node)
         if view is not None:
-            message = messages.MemberMissing(self._new_attempt_id())
+            message = messages.MemberMissing(self._new_attempt_id(), must_read)
             self._send(view.member, message)
 
     def _ask_for_version(self, member: members.Member) -> None:
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -105,6 +105,32 @@
         with self.assertRaises(api.TooOldError):
             await self.store.watch(members.KEY_PREFIX, api.ABSENT, 0.1)
 
+    async def test_pages_of_different_eras_are_no_list(self):
+        self.app.max_page_items = 1
+        for name in ('a', 'b'):
+            await self.store.put(
+                members.KEY_PREFIX + name, VALUE_1, api.ABSENT
+            )
+        listing = await self.store.list(members.KEY_PREFIX)
+        self.assertEqual(self.app.era, listing.era)
+        list_page = self.app._list_page
+
+        def restore_after_first_page(kind, after):
+            if after:
+                self.app.restore(self.app.copy())
+            return list_page(kind, after)
+
+        self.app._list_page = restore_after_first_page
+        with self.assertRaises(api.UnavailableError):
+            await self.store.list(members.KEY_PREFIX)
+
+    async def test_an_era_that_is_no_number_is_rejected(self):
+        for era in ('', '-1', 'x', '9' * 5000):
+            with self.subTest(era[:9]):
+                self.app.era = era
+                with self.assertRaises(api.UnavailableError):
+                    await self.store.list(members.KEY_PREFIX)
+
     async def test_faults_raise_the_matching_error(self):
         cases = [
             (platform_emulator.Fault.BUSY, api.UnavailableError, None),
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -105,12 +105,20 @@
         ]
         self.watchers[0].on_reconnected = self.watchers[1].relist
         self.watchers[1].on_member_missing = self._notify
+        for watcher in self.watchers:
+            watcher.on_restored = self._on_restored
         self.watchers[1].on_listed = self._set_stored
 
-    def _notify(self, node: messages.NodeId) -> None:
+    def _notify(self, node: messages.NodeId, must_read: bool) -> None:
         """Notify a node about its record, as a message would."""
         if node in self.writers:
-            self.writers[node].mark_missing()
+            self.writers[node].mark_missing(must_read)
+
+    def _on_restored(self, era: api.Era) -> None:
+        """Do what a node does when the store was restored."""
+        self.writers[OWN].mark_missing(must_read=True)
+        for watcher in self.watchers:
+            watcher.expect_era(era)
 
     def _set_stored(self, entries: list[api.Entry]) -> None:
         """Pass on a list as a node does with its first one."""
@@ -224,6 +232,28 @@
                         view = fleet.directory.peer_view(PEER)
                         self.assertEqual(expected, view and view.member)
 
+    async def test_a_node_that_has_gone_is_removed_after_the_recovery(self):
+        fleet = self.fleet
+        fleet.desired = {OWN: _member(OWN, {}), PEER: _member(PEER, {})}
+        gone = _member('gone', {})
+        async with fleet.running():
+            self._write('jayflow-nodes/gone', gone.encode())
+            self.assertTrue(
+                await self._wait_for(
+                    lambda: fleet.directory.peer_view(gone.node)
+                )
+            )
+            copy = self.app.copy()
+            copy[1].pop('jayflow-nodes/gone')
+            self.app.restore(copy)
+            await asyncio.sleep(platform_watchers.RESTORE_RECOVERY_S / 2)
+            self.assertIsNotNone(fleet.directory.peer_view(gone.node))
+            self.assertTrue(
+                await self._wait_for(
+                    lambda: fleet.directory.peer_view(gone.node) is None
+                )
+            )
+
     async def test_a_version_written_before_the_old_revision_is_not_missed(
         self,
     ):
