Follow the members beside an entry that can't be read or used

Reported by other operators: another writer left one odd entry among those of the endpoints, and the machines that read the list ended again and again or stopped following it (LOST).

A very deep entry ended the watcher with RecursionError, and with it the process, also as a part of a list; an incarnation over 64 bits ended the sender (OverflowError), a negative port or a host with a space the subscriptions (ZMQError).

Change: documents are decoded in one place that reports depth as malformed data; lists and changes are decoded entry by entry, and in a list too deep to read, values beyond a depth of 64 are cut; members and announcements check host, port and the range of numbers; an address that can't be connected to counts as a peer that is not reachable.

--- a/jayflow/connection/announcement.py
+++ b/jayflow/connection/announcement.py
@@ -37,6 +37,8 @@
             raise ValueError(f'slots must be from 1 to {MAX_SLOTS}')
         if not self.services:
             raise ValueError('services must not be empty')
+        if not all(map(messages.is_sendable, (self.born, self.sequence))):
+            raise ValueError('born and sequence must be from 0 to 2^63 - 1')
         if not 0 < self.port < 65536:
             raise ValueError('port must be from 1 to 65535')
 
--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -4,14 +4,18 @@
 that they know where the node is and which services it can run.
 """
 
+import re
 from typing import Self
 
 import msgspec
 
+from jayflow.connection import codec
 from jayflow.connection import messages
 from jayflow.version import objects
+from jayflow.version import value_parsers
 
 KEY_PREFIX = 'live/members/'
+_HOST = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*|\[[0-9A-Fa-f:.]+\]')
 
 
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -35,6 +39,19 @@
     born: int = 0
     left: tuple[messages.ServerIncarnation, ...] = ()
 
+    def __post_init__(self) -> None:
+        if not self.node:
+            raise ValueError('node must not be empty')
+        if not _HOST.fullmatch(self.host):
+            raise ValueError(f'host {self.host!r} is not a host name or IP')
+        if not 0 < self.port <= value_parsers.MAX_PORT:
+            raise ValueError(f'port {self.port} is not from 1 to 65535')
+        numbers = (self.incarnation, self.slots, self.born)
+        if not all(map(messages.is_sendable, numbers)):
+            raise ValueError(f'one of {numbers} is out of range')
+        if not all(messages.is_sendable(server.born) for server in self.left):
+            raise ValueError('start time of a server is out of range')
+
     @property
     def key(self) -> str:
         """Return the key of this member's record in the platform."""
@@ -64,4 +81,4 @@
 
         Raises msgspec.DecodeError for invalid data.
         """
-        return msgspec.json.decode(data, type=cls)
+        return codec.decode_json(data, cls)
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -11,11 +11,14 @@
 
 import msgspec
 
+from jayflow.connection import codec
+
 Incarnation = NewType('Incarnation', int)
 NodeId = NewType('NodeId', str)
 Headers = list[tuple[bytes, bytes]]
 
 MAX_PART_BYTES = 64 * 1024
+MAX_NUMBER = 2**63 - 1
 FLOW_WINDOW_PARTS = 4
 
 
@@ -411,6 +414,11 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+def is_sendable(number: int) -> bool:
+    """Return whether a message can hold a number that is not negative."""
+    return 0 <= number <= MAX_NUMBER
+
+
 def encode(message: PeerRequest | PeerReply) -> bytes:
     """Return a message encoded as MessagePack."""
     return _encoder.encode(message)
@@ -421,7 +429,7 @@
 
     Raises msgspec.DecodeError for any other data.
     """
-    return _request_decoder.decode(data)
+    return codec.decode_message(_request_decoder, data)
 
 
 def decode_reply(data: bytes) -> PeerReply:
@@ -429,4 +437,4 @@
 
     Raises msgspec.DecodeError for any other data.
     """
-    return _reply_decoder.decode(data)
+    return codec.decode_message(_reply_decoder, data)
--- a/jayflow/connection/sockets.py
+++ b/jayflow/connection/sockets.py
@@ -14,6 +14,7 @@
 from zmq.utils import monitor
 
 from jayflow.connection import messages
+from jayflow import logs
 
 RoutingId = NewType('RoutingId', bytes)
 
@@ -25,6 +26,8 @@
 MAX_RECONNECT_MS = 500
 MAX_MESSAGES_PER_TURN = 64
 
+_log = logs.get_logger(logs.Component.MEMBERS)
+
 
 class NotSentError(Exception):
     """Report a message that was not sent."""
@@ -147,7 +150,15 @@
         self._event_reader = _SocketReader(monitor_socket, self._receive_event)
         self._connected = asyncio.Event()
         self.disconnect_count = 0
-        socket.connect(address)
+        try:
+            socket.connect(address)
+        except zmq.ZMQError as exc:
+            # The peer counts as one that is not reachable.
+            _log.error(
+                'Address of a peer is invalid.',
+                address=address,
+                error=str(exc),
+            )
 
     @property
     def connection(self) -> Self:
--- a/jayflow/emulator/metadata_store.py
+++ b/jayflow/emulator/metadata_store.py
@@ -8,6 +8,8 @@
 from typing import ClassVar
 import urllib.parse
 
+import msgspec
+
 from jayflow.connection import platform as api
 from jayflow.emulator import platform
 
@@ -136,10 +138,11 @@
             'finalizers': [],
             'deleting': False,
         },
-        'spec': json.loads(entry.value or b'null'),
+        # Passed on as it is, even if nothing else could read it.
+        'spec': msgspec.Raw(entry.value or b'null'),
         'status': None,
     }
 
 
 def _json_response(status: int, document: dict):
-    return status, None, json.dumps(document).encode()
+    return status, None, msgspec.json.encode(document)
--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from jayflow.connection import codec
 from jayflow.platform import protocol
 from jayflow.process import settings
 from jayflow.version import objects
@@ -99,7 +100,7 @@
     """
 
     def decode(data: bytes) -> snapshot.Version:
-        config = msgspec.json.decode(data, type=_Config)
+        config = codec.decode_json(data, _Config)
         number = snapshot.VersionNumber(int(config.version.removeprefix('r')))
         routes = config.routes.records(_Route)
         services = config.services.records(_Service)
--- a/jayflow/platform/heartbeat.py
+++ b/jayflow/platform/heartbeat.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from jayflow.connection import announcement
+from jayflow.connection import codec
+from jayflow.connection import messages
 from jayflow.platform import protocol
 from jayflow.process import control_api
 from jayflow.process import server_registration
@@ -102,9 +104,11 @@
                 ]
             if path.startswith(protocol.DEREGISTER_PATH):
                 instance = path.removeprefix(protocol.DEREGISTER_PATH)
-                deregistration = msgspec.json.decode(
-                    body or b'{}', type=_Deregistration
+                deregistration = codec.decode_json(
+                    body or b'{}', _Deregistration
                 )
+                if not messages.is_sendable(deregistration.born):
+                    return 400
                 result = await self._registration.withdraw(
                     instance, deregistration.born
                 )
@@ -116,7 +120,7 @@
 
 def decode(instance: str, body: bytes) -> announcement.Announcement:
     """Return the announcement in a heartbeat; ValueError if malformed."""
-    heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+    heartbeat = codec.decode_json(body, _Heartbeat)
     state = heartbeat.status.state
     cold_start_s = heartbeat.status.cold_remaining_s
     if (
--- a/jayflow/platform/metadata_store.py
+++ b/jayflow/platform/metadata_store.py
@@ -5,14 +5,15 @@
 member to the object of that node.
 """
 
-import json
-from typing import Any
+from typing import Any, TypeVar
 import urllib.parse
 
 import msgspec
 
+from jayflow.connection import codec
 from jayflow.connection import member as members
 from jayflow.connection import platform as api
+from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.platform import protocol
 from jayflow.process import settings
@@ -25,6 +26,9 @@
 TOO_MANY_REQUESTS = 429
 MAX_ERA_DIGITS = 18
 
+Document = TypeVar('Document')
+_log = logs.get_logger(logs.Component.PLATFORM)
+
 
 class _Metadata(msgspec.Struct):
     name: str
@@ -37,7 +41,8 @@
 
 
 class _Listing(msgspec.Struct):
-    items: list[_Object]
+    # Each is decoded by itself, as another writer may have left an odd one.
+    items: list[msgspec.Raw]
     # The revision of the whole store, not of one object.
     store_revision: int
     has_more: bool = False
@@ -49,7 +54,7 @@
 
 
 class _Events(msgspec.Struct):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     store_revision: int
 
 
@@ -115,12 +120,13 @@
             # A watch from the first page's revision also returns the changes
             # made while the other pages were read.
             revision = revision or api.Revision(page.store_revision)
+            items = _decode_each(page.items, _Object)
             entries += [
-                _entry(_platform_key(kind, item), item) for item in page.items
+                _entry(_platform_key(kind, item), item) for item in items
             ]
-            if not page.has_more or not page.items:
+            if not page.has_more or not items:
                 return api.Listing(entries, revision, era)
-            after = page.items[-1].metadata.name
+            after = items[-1].metadata.name
 
     async def watch(
         self, prefix: str, after: api.Revision, wait_s: float
@@ -138,7 +144,10 @@
         _check(response)
         batch = _decode(response.body, _Events)
         return api.Changes(
-            [_change(kind, event) for event in batch.events],
+            [
+                _change(kind, event)
+                for event in _decode_each(batch.events, _Event)
+            ],
             api.Revision(batch.store_revision),
             _era(response),
         )
@@ -206,13 +215,26 @@
     )
 
 
-def _decode(body: bytes, document_type: type):
+def _decode(body: bytes, document_type: type[Document]) -> Document:
     try:
-        return msgspec.json.decode(body, type=document_type)
-    except (msgspec.DecodeError, json.JSONDecodeError) as exc:
+        return codec.decode_collection(body, document_type)
+    except msgspec.DecodeError as exc:
         raise api.UnavailableError(f'response is malformed: {exc}') from exc
 
 
+def _decode_each(
+    documents: list[msgspec.Raw], document_type: type[Document]
+) -> list[Document]:
+    """Return the documents that can be read; log the others."""
+    decoded = []
+    for document in documents:
+        try:
+            decoded.append(codec.decode_json(bytes(document), document_type))
+        except msgspec.DecodeError as exc:
+            _log.error('Object of the store is malformed.', error=str(exc))
+    return decoded
+
+
 def _era(response: api.Response) -> api.Era:
     """Return the era that a response names; UnavailableError if malformed."""
     for name, value in response.headers:
--- a/jayflow/process/control_api.py
+++ b/jayflow/process/control_api.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from jayflow.connection import announcement
+from jayflow.connection import codec
 from jayflow.connection import messages
 from jayflow.process import server_registration
 from jayflow.process import settings
@@ -75,7 +76,7 @@
 
     async def _announce(self, body: bytes, send) -> None:
         try:
-            decoded = msgspec.json.decode(body, type=announcement.Announcement)
+            decoded = codec.decode_json(body, announcement.Announcement)
         except (msgspec.DecodeError, ValueError) as exc:
             error = msgspec.json.encode({'error': str(exc)})
             await send_json(send, 400, error)
--- a/jayflow/process/fleet_client.py
+++ b/jayflow/process/fleet_client.py
@@ -21,6 +21,7 @@
 from jayflow.connection import peer_connections
 from jayflow.connection import platform as api
 from jayflow.connection import sockets
+from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.process import platform_pauses
 from jayflow.process import status
@@ -76,6 +77,7 @@
     def __init__(self, platform: api.Platform) -> None:
         self._platform = platform
         self._rng = random.Random()
+        self._log = logs.get_logger(logs.Component.MEMBERS)
 
     @classmethod
     def from_address(cls, address: value_parsers.Address) -> Self:
@@ -145,9 +147,16 @@
         listing = await self._call(
             lambda: self._platform.list(members.KEY_PREFIX)
         )
-        fleet_members = [
-            members.Member.decode(entry.value) for entry in listing.entries
-        ]
+        fleet_members = []
+        for entry in listing.entries:
+            try:
+                fleet_members.append(members.Member.decode(entry.value))
+            except msgspec.DecodeError as exc:
+                self._log.error(
+                    'Member record is malformed.',
+                    key=entry.key,
+                    error=str(exc),
+                )
         return FleetStatus(
             manifest, fleet_members, await query_members(fleet_members)
         )
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -147,7 +147,9 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
-class StoreRestoreTest(unittest.IsolatedAsyncioTestCase):
+class StoreTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run a fleet against an emulated store."""
+
     async def asyncSetUp(self):
         await self._restart_store()
 
@@ -188,6 +190,8 @@
                 await asyncio.sleep(0.02)
         return is_true()
 
+
+class StoreRestoreTest(StoreTestCase):
     async def test_records_that_the_store_lost_are_written_again(self):
         for title, node, before, after in RECORD_CASES:
             with self.subTest(title):
