Keep quarantined requests in the member record of a node

Cause: the quarantine was kept in the memory of the nodes only.

Change: the node whose server's crash was the last one names the requests in its member record, with the time until which they are refused; a node that starts reads all records before it accepts a server. That is one write for each request that is quarantined.

Evidence: CrashTest.test_killed_nodes_still_refuse_a_crashing_request with real processes failed on (server_crashed instead of quarantined) and passes; test_crash_recovery for the clock and the expiry.

--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -18,12 +18,29 @@
 _HOST = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*|\[[0-9A-Fa-f:.]+\]')
 
 
+class QuarantinedRequest(msgspec.Struct, frozen=True):
+    """Name a request that is refused until a time in Unix milliseconds.
+
+    `fingerprint` is in hexadecimal digits.
+    """
+
+    fingerprint: str
+    expires_ms: int
+
+    def __post_init__(self) -> None:
+        bytes.fromhex(self.fingerprint)
+        if not messages.is_sendable(self.expires_ms):
+            raise ValueError(f'time {self.expires_ms} is out of range')
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """Represent what one node publishes about itself to all others.
 
     `has_seat` is whether the node holds a seat of each link of its region.
     `left` lists the backend servers that left last, so that the node also
-    rejects their late announcements after its own restart.
+    rejects their late announcements after its own restart. `quarantined`
+    lists the requests whose last crash was one of its own server, so that
+    nodes which restart refuse them as well.
     """
 
     node: messages.NodeId
@@ -38,6 +55,7 @@
     instance: str = ''
     born: int = 0
     left: tuple[messages.ServerIncarnation, ...] = ()
+    quarantined: tuple[QuarantinedRequest, ...] = ()
 
     def __post_init__(self) -> None:
         if not self.node:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import random
 import secrets
 import signal
@@ -252,6 +253,9 @@
         self._executor.crash_tracker.quarantine_duration_s = (
             self._quarantine_duration_s
         )
+        self._executor.crash_tracker.on_quarantined = (
+            self._on_own_member_change
+        )
         self._executor.link_budget_for = self._budget_for
         self._link_budgets = link_budgets.LinkBudgets(
             self._platform_at(cfg.calls_per_s),
@@ -455,6 +459,7 @@
             return
         own_key = members.KEY_PREFIX + self._cfg.name
         entry = next((row for row in entries if row.key == own_key), None)
+        self._restore_quarantined(entries, own_key)
         if entry is not None:
             try:
                 last_member = members.Member.decode(entry.value)
@@ -469,6 +474,18 @@
         self._registration.is_restored = True
         self._record_listed.set()
 
+    def _restore_quarantined(
+        self, entries: list[api.Entry], own_key: str
+    ) -> None:
+        """Refuse the requests that any node has recorded as crashing."""
+        for entry in entries:
+            # The watcher has logged those that can't be decoded.
+            with contextlib.suppress(ValueError):
+                member = members.Member.decode(entry.value)
+                self._executor.crash_tracker.restore(
+                    member.quarantined, is_own=entry.key == own_key
+                )
+
     async def _serve(self, app, address: value_parsers.Address) -> None:
         await http_server.create(app, *address, self._bad_request).serve()
 
@@ -614,7 +631,8 @@
         is_leaving = self._executor.is_stopping and (
             self._environment is environments.STANDALONE or not accepts
         )
-        if is_leaving or not (accepts or departed):
+        quarantined = self._executor.crash_tracker.own_quarantined()
+        if is_leaving or not (accepts or departed or quarantined):
             return None
         return self._describe_self()
 
@@ -642,6 +660,7 @@
             announced.instance if announced else '',
             announced.born if announced else 0,
             self._registration.announcement_order.departed,
+            self._executor.crash_tracker.own_quarantined(),
         )
 
     def _on_own_member_change(self) -> None:
--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -11,10 +11,12 @@
 from collections.abc import Iterable
 import itertools
 import secrets
+import time
 
 import anyio
 
 from jayflow.connection import backend_client
+from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as metrics_module
@@ -35,6 +37,8 @@
 CRASH_WINDOW_S = 0.5
 # Requests in one answer to a node that has just got a server.
 MAX_SENT_RECORDS = 1000
+# Requests that a member record names at most, the last ones.
+MAX_OWN_QUARANTINED = 16
 # A log line holds this many fingerprints at most.
 MAX_LOGGED_FINGERPRINTS = 50
 
@@ -52,6 +56,7 @@
         clock: Callable[[], float],
         max_crashes: int | None = None,
         dialect: header_dialect.HeaderDialect = header_dialect.DEFAULT_DIALECT,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.max_crashes = max_crashes
         self._dialect = dialect
@@ -70,6 +75,12 @@
         self._handled: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_CRASHES
         )
+        self._wall_clock = wall_clock
+        self.on_quarantined: Callable[[], None] = lambda: None
+        # Requests whose last crash was one of the own server.
+        self._own_quarantined: dict[
+            quarantine.Fingerprint, members.QuarantinedRequest
+        ] = {}
 
     def fingerprints_of(
         self, start: messages.Start
@@ -220,8 +231,52 @@
             crash for crash in answer.crashes if crash not in self._handled
         )
 
+    def own_quarantined(self) -> tuple[members.QuarantinedRequest, ...]:
+        """Return the quarantined requests for the node's member record."""
+        now_ms = self._wall_clock() * 1000
+        records = [
+            record
+            for record in self._own_quarantined.values()
+            if record.expires_ms > now_ms
+        ]
+        return tuple(records[-MAX_OWN_QUARANTINED:])
+
+    def restore(
+        self, records: Iterable[members.QuarantinedRequest], is_own: bool
+    ) -> None:
+        """Refuse the requests that a member record names."""
+        for record in records:
+            digest = quarantine.Fingerprint(bytes.fromhex(record.fingerprint))
+            remaining_s = min(
+                record.expires_ms / 1000 - self._wall_clock(),
+                objects.DEFAULT_QUARANTINE_S,
+            )
+            if remaining_s > 0:
+                self.quarantine.add(digest, self._clock() + remaining_s)
+            if is_own:
+                self._own_quarantined[digest] = record
+
+    def _record_quarantined(self, report: messages.CrashReport) -> None:
+        """Record the requests that a crash of the own server quarantined."""
+        expires_ms = round(self._wall_clock() * 1000) + report.remaining_ms
+        added = [
+            digest
+            for digest in map(quarantine.Fingerprint, report.fingerprints)
+            if digest not in self._own_quarantined
+            and self.state_of([digest])
+            is quarantine.QuarantineState.QUARANTINED
+        ]
+        for digest in added:
+            self._own_quarantined[digest] = members.QuarantinedRequest(
+                digest.hex(), expires_ms
+            )
+        if added:
+            self.on_quarantined()
+
     async def _broadcast(self, report: messages.CrashReport) -> None:
         self.handle_report(report)
+        if report.crash:
+            self._record_quarantined(report)
         with anyio.move_on_after(BROADCAST_TIMEOUT_S):
             await self.broadcast(report)
 
--- a/tests/process/test_crash_recovery.py
+++ b/tests/process/test_crash_recovery.py
@@ -36,6 +36,14 @@
     ('known to itself only', [], ['c1', 'c2', 'c3'], [], State.QUARANTINED),
     ('unknown', [], [], [], State.FREE),
 ]
+# Title, time of the restart in s (the crash was at 50.0), whether the record
+# is the own one, state of the request, and how many the own record names.
+RESTART_CASES = [
+    ('the node that recorded it', 51.0, True, (State.QUARANTINED, 1)),
+    ('another node', 51.0, False, (State.QUARANTINED, 0)),
+    ('a clock that is behind', 20.0, False, (State.QUARANTINED, 0)),
+    ('after the quarantine', 50.0 + 601.0, True, (State.FREE, 0)),
+]
 
 
 class FakeBackend:
@@ -120,6 +128,34 @@
                 )
                 self.assertIs(expected, state)
 
+    def test_a_restarted_fleet_refuses_what_was_recorded(self):
+        async def main(loop, now_s, is_own):
+            first = crash_tracker.CrashTracker(
+                metrics_module.Metrics(), loop.time, 3, wall_clock=lambda: 50.0
+            )
+            _report(first, ['c1', 'c2'])
+            self.assertEqual((), first.own_quarantined())
+            written = []
+            first.on_quarantined = lambda: written.append(
+                first.own_quarantined()
+            )
+            await first.report_crash(SERVICE, frozenset({(DIGEST,)}), False)
+            second = crash_tracker.CrashTracker(
+                metrics_module.Metrics(),
+                loop.time,
+                3,
+                wall_clock=lambda: now_s,
+            )
+            second.restore(written[0], is_own)
+            return second.state_of([DIGEST]), len(second.own_quarantined())
+
+        for title, *case, expected in RESTART_CASES:
+            with self.subTest(title):
+                result = self.run_virtual(
+                    lambda loop, case=case: main(loop, *case)
+                )
+                self.assertEqual(expected, result)
+
     def test_a_node_asks_once_for_each_server_until_a_peer_answers(self):
         async def main(loop, delay_s):
             backend = FakeBackend()
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -61,6 +61,30 @@
                 response = self._call(cluster, 0, 'GET', '/lookup/good')
                 self.assertEqual(200, response.status)
 
+    def test_killed_nodes_still_refuse_a_crashing_request(self):
+        with local_cluster.LocalCluster.open() as cluster:
+            cluster.start_nodes_with_servers(PAIRS, 'lookups,lists')
+            path = '/lookup/bad?crash=1'
+            for count in range(3):
+                response = self._call(cluster, count, 'GET', path)
+            self.assertEqual('quarantined', response.reason)
+            # Time for the record to be written.
+            time.sleep(1.0)
+            for node in cluster.nodes:
+                node.process.kill()
+                node.process.wait()
+            for node in cluster.nodes:
+                cluster.restart_node(node)
+            for server in cluster.servers:
+                if not server.process.is_running:
+                    cluster.restart_server(server)
+            cluster.wait_for_members(PAIRS)
+            for count in range(PAIRS):
+                response = self._call(cluster, count, 'GET', path)
+                self.assertEqual('quarantined', response.reason)
+            for server in cluster.servers:
+                self.assertTrue(server.process.is_running, server.name)
+
     def test_other_requests_on_a_crashing_server_are_served(self):
         with local_cluster.LocalCluster.open() as cluster:
             cluster.start_nodes_with_servers(PAIRS, 'lookups,lists')
