--- a/jayflow/process/environment.py
+++ b/jayflow/process/environment.py
@@ -11,6 +11,7 @@
 from jayflow.connection import platform as api
 from jayflow import metrics as metrics_module
 from jayflow.process import control_api
+from jayflow.process import platform_objects
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.process import server_registration
 from jayflow.process import settings
@@ -28,7 +29,7 @@
     Callable,
 ]
 CreateVersionDecoder = Callable[
-    [settings.Settings], platform_watchers.DecodeVersion
+    [settings.Settings], platform_objects.DecodeVersion
 ]
 
 
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -19,7 +19,7 @@
 from jayflow import metrics as metrics_module
 from jayflow.process import member_directory
 from jayflow.process import member_writer as member_writers
-from jayflow.process import platform_watcher as platform_watchers
+from jayflow.process import platform_objects
 from jayflow.process import state_publishing
 from jayflow.process import status_reporter as status_reporters
 from jayflow.request import claim_routing
@@ -59,7 +59,7 @@
         metrics: metrics_module.Metrics,
         handlers: MessageHandlers,
         budget_for: executors.LinkBudgetFor,
-        decode_version: platform_watchers.DecodeVersion,
+        decode_version: platform_objects.DecodeVersion,
     ) -> None:
         self.send: Callable[[sockets.RoutingId, messages.PeerReply], None]
         self.tasks: anyio.abc.TaskGroup
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -12,7 +12,6 @@
 import time
 
 import anyio
-import msgspec
 
 from jayflow.connection import member as members
 from jayflow.connection import messages
@@ -20,9 +19,9 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.process import member_directory
+from jayflow.process import platform_objects
 from jayflow.process import platform_pauses
 from jayflow.process import restored_records
-from jayflow.version import snapshot
 
 WATCH_PREFIX = 'live/'
 # Longest time that one watch call waits for a change.
@@ -40,8 +39,6 @@
 # Time for the members to write their records again after a restore.
 RESTORE_RECOVERY_S = 2.0
 
-DecodeVersion = Callable[[bytes], snapshot.Version] | None
-
 
 class PlatformWatcher:
     """Apply the objects below a prefix of the platform, and their changes.
@@ -60,7 +57,7 @@
         metrics: metrics_module.Metrics,
         rng: random.Random,
         prefix: str = WATCH_PREFIX,
-        decode_version: DecodeVersion = None,
+        decode_version: platform_objects.DecodeVersion = None,
         pause: platform_pauses.Pause | None = None,
         watch_timeout_s: float = WATCH_TIMEOUT_S,
         batch_delay_s: float = 0.0,
@@ -70,7 +67,6 @@
         self._watch_timeout_s = watch_timeout_s
         self._batch_delay_s = batch_delay_s
         self._prefix = prefix
-        self._decode_version = decode_version
         self._pause = pause or platform_pauses.jittered_pause(rng)
         self._watch_delay_s = watch_delay_s
         self.is_watcher: Callable[[float], bool] = lambda now: True
@@ -86,16 +82,16 @@
             None
         )
         self._call_scope: anyio.CancelScope | None = None
-        self._own_key = members.KEY_PREFIX + directory.node
         self._listed_at = -math.inf
         self._first_listed_at = math.inf
         self._platform = platform
+        self._objects = platform_objects.PlatformObjects(
+            platform, directory, active_version, metrics, decode_version
+        )
         self._directory = directory
-        self._active_version = active_version
         self._metrics = metrics
         self._rng = rng
         self._log = logs.get_logger(logs.Component.PLATFORM)
-        self._pending_manifest: snapshot.Manifest | None = None
         self._relist_after_s = first_relist_delay_s
         self.last_success_at = -math.inf
         self._era: api.Era | None = None
@@ -199,8 +195,7 @@
             revision = batch.revision
             if batch.changes:
                 await anyio.sleep(self._batch_delay_s)
-        if self._pending_manifest is not None:
-            await self._fetch_version(self._pending_manifest)
+        await self._objects.fetch_pending()
         return revision
 
     def _observe_era(self, era: api.Era) -> bool:
@@ -235,7 +230,7 @@
         if now >= self._recheck_at:
             self._recheck_at = math.inf
         for entry in entries:
-            self._apply_entry(entry)
+            self._objects.apply(entry)
         self.on_listed(entries)
 
     def _apply_restored(self, entries: list[api.Entry]) -> None:
@@ -254,7 +249,7 @@
             self.on_member_missing(node, True)
         for entry in entries:
             if not restored_records.is_older_copy(known, entry):
-                self._apply_entry(entry)
+                self._objects.apply(entry)
         self._log.info(
             'Records that a restored platform has lost.',
             prefix=self._prefix,
@@ -269,8 +264,8 @@
         key = change.entry.key
         node = messages.NodeId(key.removeprefix(members.KEY_PREFIX))
         if change.kind is api.ChangeKind.PUT:
-            self._apply_entry(change.entry)
-            if key.startswith(members.KEY_PREFIX):
+            is_valid = self._objects.apply(change.entry)
+            if is_valid and key.startswith(members.KEY_PREFIX):
                 self.on_member_update(
                     messages.MemberUpdate(node, change.entry.value)
                 )
@@ -287,46 +282,3 @@
         self._directory.remove_if_not_heard(node, now)
         if self._directory.peer_view(node) is not None:
             self.on_member_missing(node, False)
-
-    def _apply_entry(self, entry: api.Entry) -> None:
-        try:
-            if entry.key == snapshot.MANIFEST_KEY and self._decode_version:
-                version = self._decode_version(entry.value)
-                self._active_version.apply(version, entry.value)
-            elif entry.key == snapshot.MANIFEST_KEY:
-                manifest = msgspec.msgpack.decode(
-                    entry.value, type=snapshot.Manifest
-                )
-                if manifest.number > self._active_version.current.number:
-                    self._pending_manifest = manifest
-            elif entry.key.startswith(members.KEY_PREFIX):
-                member = members.Member.decode(entry.value)
-                if member.key != entry.key:
-                    raise msgspec.ValidationError(
-                        'member object is stored under the key of another node'
-                    )
-                if entry.key != self._own_key:
-                    self._directory.put_from_listing(member, time.monotonic())
-        except ValueError as exc:
-            self._metrics.count_event(metrics_module.Event.CONFIG_REJECTED)
-            self._log.error(
-                'Platform object is malformed.',
-                key=entry.key,
-                error=str(exc),
-            )
-
-    async def _fetch_version(self, manifest: snapshot.Manifest) -> None:
-        parts = []
-        for digest in manifest.parts:
-            entry = await self._platform.get(snapshot.part_key(digest))
-            parts.append(entry.value if entry else b'')
-        try:
-            self._active_version.apply(
-                snapshot.Version.from_parts(manifest, parts)
-            )
-        except (snapshot.CorruptPartError, msgspec.DecodeError) as exc:
-            self._metrics.count_event(metrics_module.Event.CONFIG_REJECTED)
-            self._log.error(
-                'Configuration version is corrupt.', error=str(exc)
-            )
-        self._pending_manifest = None
