Refuse a queued request that was quarantined meanwhile

What callers would see: a further 502, since a request that waits for a slot while it crashes its third server elsewhere still starts (same class as the incident; found by reading the fix).

Cause: the quarantine was checked when an attempt arrives, not when it starts.

Evidence: the new test in test_executor failed before: the request ran.

--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -288,8 +288,9 @@
             return
         now = self._clock()
         fingerprints = self.crash_tracker.fingerprints_of(start)
-        quarantine_state = self.crash_tracker.state_of(fingerprints)
-        reason = self._reason_to_refuse(start, quarantine_state)
+        reason = self._reason_to_refuse(start)
+        if self._is_quarantined(fingerprints):
+            reason = Reason.QUARANTINED
         if reason is not None:
             self._refuse(start, reason, reply)
             return
@@ -298,7 +299,8 @@
         job.fingerprints = fingerprints
         job.is_suspect = bool(fingerprints) and (
             start.suspect
-            or quarantine_state is quarantine.QuarantineState.SUSPECT
+            or self.crash_tracker.state_of(fingerprints)
+            is quarantine.QuarantineState.SUSPECT
         )
         job.is_exclusive = (
             job.is_suspect and self.crash_tracker.max_crashes is None
@@ -315,13 +317,13 @@
         else:
             self._enqueue(job, now)
 
-    def _reason_to_refuse(
-        self,
-        start: messages.Start,
-        quarantine_state: quarantine.QuarantineState,
-    ) -> Reason | None:
-        if quarantine_state is quarantine.QuarantineState.QUARANTINED:
-            return Reason.QUARANTINED
+    def _is_quarantined(
+        self, fingerprints: tuple[quarantine.Fingerprint, ...]
+    ) -> bool:
+        state = self.crash_tracker.state_of(fingerprints)
+        return state is quarantine.QuarantineState.QUARANTINED
+
+    def _reason_to_refuse(self, start: messages.Start) -> Reason | None:
         if self.is_stopping:
             return Reason.NODE_STOPPING
         server_announcement = self.backend.announcement
@@ -435,6 +437,11 @@
 
     async def _serve_started(self, job: jobs.Job) -> None:
         start = job.start
+        if self._is_quarantined(job.fingerprints):
+            # Since it was queued.
+            self._refuse(start, Reason.QUARANTINED, job.reply)
+            job.is_closed = True
+            return
         try:
             conn = await self.backend.acquire_connection(job)
         except backend_client.BackendError:
--- a/tests/request/test_executor.py
+++ b/tests/request/test_executor.py
@@ -188,6 +188,19 @@
         await self.executor.wait_idle()
         self.assertEqual(3, self.server.runs)
 
+    async def test_a_queued_request_is_refused_once_it_is_quarantined(self):
+        self.executor.crash_tracker.max_crashes = 3
+        self.announce(slots=1)
+        self.server.may_respond.clear()
+        self.send(start(1), start(2, max_queue_ms=900))
+        for crash in ('c1', 'c2', 'c3'):
+            self.send(messages.CrashReport(crash, [b'f2'], 60_000))
+        self.server.may_respond.set()
+        replies = await self.wait_for_replies(2)
+        refused = [row for row in replies if isinstance(row, messages.Refused)]
+        self.assertEqual(['quarantined'], [row.reason for row in refused])
+        self.assertEqual(1, self.server.runs)
+
     async def test_a_cold_start_raises_slowness_and_keeps_the_slots(self):
         now = 100.0
         executor = executors.Executor(
