--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -239,7 +239,7 @@
             for record in self._own_quarantined.values()
             if record.expires_ms > now_ms
         ]
-        return tuple(records[-MAX_OWN_QUARANTINED:])
+        return tuple(records)
 
     def restore(
         self, records: Iterable[members.QuarantinedRequest], is_own: bool
@@ -254,7 +254,7 @@
             if remaining_s > 0:
                 self.quarantine.add(digest, self._clock() + remaining_s)
             if is_own:
-                self._own_quarantined[digest] = record
+                self._put_own(digest, record)
 
     def _record_quarantined(self, report: messages.CrashReport) -> None:
         """Record the requests that a crash of the own server quarantined."""
@@ -267,12 +267,21 @@
             is quarantine.QuarantineState.QUARANTINED
         ]
         for digest in added:
-            self._own_quarantined[digest] = members.QuarantinedRequest(
-                digest.hex(), expires_ms
+            self._put_own(
+                digest, members.QuarantinedRequest(digest.hex(), expires_ms)
             )
         if added:
             self.on_quarantined()
 
+    def _put_own(
+        self,
+        digest: quarantine.Fingerprint,
+        record: members.QuarantinedRequest,
+    ) -> None:
+        self._own_quarantined[digest] = record
+        if len(self._own_quarantined) > MAX_OWN_QUARANTINED:
+            del self._own_quarantined[next(iter(self._own_quarantined))]
+
     async def _broadcast(self, report: messages.CrashReport) -> None:
         self.handle_report(report)
         if report.crash:
