--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -631,7 +631,7 @@
         is_leaving = self._executor.is_stopping and (
             self._environment is environments.STANDALONE or not accepts
         )
-        quarantined = self._executor.crash_tracker.own_quarantined()
+        quarantined = self._executor.crash_tracker.own_record.current()
         if is_leaving or not (accepts or departed or quarantined):
             return None
         return self._describe_self()
@@ -660,7 +660,7 @@
             announced.instance if announced else '',
             announced.born if announced else 0,
             self._registration.announcement_order.departed,
-            self._executor.crash_tracker.own_quarantined(),
+            self._executor.crash_tracker.own_record.current(),
         )
 
     def _on_own_member_change(self) -> None:
--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -23,6 +23,7 @@
 from jayflow.request import header_dialect
 from jayflow.request import headers as http_headers
 from jayflow.request import quarantine
+from jayflow.request import quarantine_record
 from jayflow.version import objects
 
 PROBE_COUNT = 3
@@ -37,8 +38,6 @@
 CRASH_WINDOW_S = 0.5
 # Requests in one answer to a node that has just got a server.
 MAX_SENT_RECORDS = 1000
-# Requests that a member record names at most, the last ones.
-MAX_OWN_QUARANTINED = 16
 # A log line holds this many fingerprints at most.
 MAX_LOGGED_FINGERPRINTS = 50
 
@@ -75,12 +74,8 @@
         self._handled: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_CRASHES
         )
-        self._wall_clock = wall_clock
+        self.own_record = quarantine_record.QuarantineRecord(wall_clock)
         self.on_quarantined: Callable[[], None] = lambda: None
-        # Requests whose last crash was one of the own server.
-        self._own_quarantined: dict[
-            quarantine.Fingerprint, members.QuarantinedRequest
-        ] = {}
 
     def fingerprints_of(
         self, start: messages.Start
@@ -231,57 +226,29 @@
             crash for crash in answer.crashes if crash not in self._handled
         )
 
-    def own_quarantined(self) -> tuple[members.QuarantinedRequest, ...]:
-        """Return the quarantined requests for the node's member record."""
-        now_ms = self._wall_clock() * 1000
-        records = [
-            record
-            for record in self._own_quarantined.values()
-            if record.expires_ms > now_ms
-        ]
-        return tuple(records)
-
     def restore(
         self, records: Iterable[members.QuarantinedRequest], is_own: bool
     ) -> None:
         """Refuse the requests that a member record names."""
         for record in records:
-            digest = quarantine.Fingerprint(bytes.fromhex(record.fingerprint))
-            remaining_s = min(
-                record.expires_ms / 1000 - self._wall_clock(),
-                objects.DEFAULT_QUARANTINE_S,
-            )
+            remaining_s = self.own_record.remaining_s(record)
             if remaining_s > 0:
+                digest = quarantine_record.fingerprint_of(record)
                 self.quarantine.add(digest, self._clock() + remaining_s)
-            if is_own:
-                self._put_own(digest, record)
+                if is_own:
+                    self.own_record.put(record)
 
     def _record_quarantined(self, report: messages.CrashReport) -> None:
         """Record the requests that a crash of the own server quarantined."""
-        expires_ms = round(self._wall_clock() * 1000) + report.remaining_ms
-        added = [
+        quarantined = [
             digest
             for digest in map(quarantine.Fingerprint, report.fingerprints)
-            if digest not in self._own_quarantined
-            and self.state_of([digest])
+            if self.state_of([digest])
             is quarantine.QuarantineState.QUARANTINED
         ]
-        for digest in added:
-            self._put_own(
-                digest, members.QuarantinedRequest(digest.hex(), expires_ms)
-            )
-        if added:
+        if self.own_record.add(quarantined, report.remaining_ms):
             self.on_quarantined()
 
-    def _put_own(
-        self,
-        digest: quarantine.Fingerprint,
-        record: members.QuarantinedRequest,
-    ) -> None:
-        self._own_quarantined[digest] = record
-        if len(self._own_quarantined) > MAX_OWN_QUARANTINED:
-            del self._own_quarantined[next(iter(self._own_quarantined))]
-
     async def _broadcast(self, report: messages.CrashReport) -> None:
         self.handle_report(report)
         if report.crash:
--- a/tests/process/test_crash_recovery.py
+++ b/tests/process/test_crash_recovery.py
@@ -134,10 +134,10 @@
                 metrics_module.Metrics(), loop.time, 3, wall_clock=lambda: 50.0
             )
             _report(first, ['c1', 'c2'])
-            self.assertEqual((), first.own_quarantined())
+            self.assertEqual((), first.own_record.current())
             written = []
             first.on_quarantined = lambda: written.append(
-                first.own_quarantined()
+                first.own_record.current()
             )
             await first.report_crash(SERVICE, frozenset({(DIGEST,)}), False)
             second = crash_tracker.CrashTracker(
@@ -147,7 +147,7 @@
                 wall_clock=lambda: now_s,
             )
             second.restore(written[0], is_own)
-            return second.state_of([DIGEST]), len(second.own_quarantined())
+            return second.state_of([DIGEST]), len(second.own_record.current())
 
         for title, *case, expected in RESTART_CASES:
             with self.subTest(title):
