Check member records where they are decoded

Only records of others can be odd, so the check belongs to the decoder.

Evidence: test_subset, test_dispatch and test_odd_entries pass.

--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -57,19 +57,6 @@
     left: tuple[messages.ServerIncarnation, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
 
-    def __post_init__(self) -> None:
-        if not self.node:
-            raise ValueError('node must not be empty')
-        if not _HOST.fullmatch(self.host):
-            raise ValueError(f'host {self.host!r} is not a host name or IP')
-        if not 0 < self.port <= value_parsers.MAX_PORT:
-            raise ValueError(f'port {self.port} is not from 1 to 65535')
-        numbers = (self.incarnation, self.slots, self.born)
-        if not all(map(messages.is_sendable, numbers)):
-            raise ValueError(f'one of {numbers} is out of range')
-        if not all(messages.is_sendable(server.born) for server in self.left):
-            raise ValueError('start time of a server is out of range')
-
     @property
     def key(self) -> str:
         """Return the key of this member's record in the platform."""
@@ -99,4 +86,22 @@
 
         Raises msgspec.DecodeError for invalid data.
         """
-        return codec.decode_json(data, cls)
+        member = codec.decode_json(data, cls)
+        if finding := _find_fault(member):
+            raise msgspec.ValidationError(finding)
+        return member
+
+
+def _find_fault(member: Member) -> str:
+    """Return why a member that another writer wrote can't be used, or ''."""
+    if not member.node:
+        return 'node must not be empty'
+    if not _HOST.fullmatch(member.host):
+        return f'host {member.host!r} is not a host name or IP'
+    if not 0 < member.port <= value_parsers.MAX_PORT:
+        return f'port {member.port} is not from 1 to {value_parsers.MAX_PORT}'
+    start_times = [server.born for server in member.left]
+    numbers = [member.incarnation, member.slots, member.born, *start_times]
+    if not all(map(messages.is_sendable, numbers)):
+        return f'one of the numbers {numbers} is out of range'
+    return ''
