--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -6,6 +6,7 @@
 import signal
 import time
 import unittest
+from unittest import mock
 
 from bench import history as histories
 from bench import load_generator
@@ -22,6 +23,12 @@
     ('ends just before that', 1200, 0.75),
 ]
 DOWNLOADS = 6
+CRASH_STRIKES = 3
+# Queries with which a crashing request comes again.
+VARIANTS = 10
+COUNTED_CRASHES_TEMPLATE = local_cluster.SETTINGS_TEMPLATE.replace(
+    '[platform]', f'crash-strikes = {CRASH_STRIKES}\n\n[platform]'
+)
 CRASH_CASES = [
     ('read', 'GET', 'lookup', 'crash=1'),
     ('save', 'POST', 'lists', 'crash=1'),
@@ -61,6 +68,33 @@
                 response = self._call(cluster, 0, 'GET', '/lookup/good')
                 self.assertEqual(200, response.status)
 
+    def test_three_servers_crash_whatever_queries_a_request_has(self):
+        with (
+            mock.patch.object(
+                local_cluster, 'SETTINGS_TEMPLATE', COUNTED_CRASHES_TEMPLATE
+            ),
+            local_cluster.LocalCluster.open() as cluster,
+        ):
+            cluster.start_nodes_with_servers(PAIRS, 'lookups')
+            crashes = 0
+            for count in range(VARIANTS):
+                path = f'/lookup/bad?crash=1&page={count}'
+                response = self._call(cluster, count, 'GET', path)
+                for server in cluster.servers:
+                    if not server.process.is_running:
+                        crashes += 1
+                        cluster.restart_server(server)
+                if count == VARIANTS // 2:
+                    node = cluster.nodes[0]
+                    node.process.kill()
+                    node.process.wait()
+                    cluster.restart_node(node)
+                cluster.wait_for_servers(PAIRS)
+            self.assertEqual(CRASH_STRIKES, crashes)
+            self.assertEqual('quarantined', response.reason)
+            response = self._call(cluster, 0, 'GET', '/lookup/good?page=1')
+            self.assertEqual(200, response.status)
+
     def test_killed_nodes_still_refuse_a_crashing_request(self):
         with local_cluster.LocalCluster.open() as cluster:
             cluster.start_nodes_with_servers(PAIRS, 'lookups,lists')
