--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 import unittest
 
 from jayflow.platform import heartbeat
@@ -39,6 +40,16 @@
         _changed('info', 'service', value='a b\n'),
     ),
     ('born of another type', _changed('born', value='x')),
+    ('born too large', _changed('born', value=2**70)),
+    ('negative born', _changed('born', value=-1)),
+    ('sequence of many digits', _changed('status', 'sequence', value=10**400)),
+    ('port out of range', _changed('address', value='10.0.0.1:70000')),
+    ('slots too large', _changed('info', 'slots', value=2**70)),
+    (
+        'infinite cold start',
+        _changed('status', 'cold_remaining_s', value=math.inf),
+    ),
+    ('a deep field', b'{"other":%b}' % (b'[' * 50_000 + b']' * 50_000)),
 ]
 
 
