Wait only for nodes that may get the retry to acknowledge a crash

Change: nodes without a server and those of other services get the report without being waited for; they ask when their server starts.

Evidence: the new table in test_crash_broadcast; with a node that never acknowledges, 0 s instead of 1 s.

--- a/jayflow/process/crash_broadcast.py
+++ b/jayflow/process/crash_broadcast.py
@@ -6,8 +6,10 @@
 as a new version may route the request to another service.
 """
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Coroutine
 import contextlib
 import time
 
@@ -18,6 +20,7 @@
 from jayflow.connection import sockets
 from jayflow.process import member_directory
 from jayflow.request import backend_server
+from jayflow.request import crash_tracker
 from jayflow.request import exchange as exchanges
 from jayflow.request import routing
 from jayflow.version import objects
@@ -61,14 +64,16 @@
         self._directory = directory
         self._exchange_table = exchange_table
         self._channel_to = channel_to
+        self._tasks: set[asyncio.Task] = set()
 
     async def broadcast(self, report: messages.CrashReport) -> None:
         """Send a report to the other nodes that may get the request.
 
-        Returns once each of them has acknowledged the report of a crash. One
-        that clears suspects is only sent: until it arrives, they run alone.
-        Nodes that have been silent are left out; no requests are sent to
-        them either.
+        Returns once each node that serves the same services, and may get the
+        retry, has acknowledged the report of a crash. The other nodes are not
+        waited for: they ask when their server starts. A report that clears
+        suspects is only sent: until it arrives, they run alone. Nodes that
+        have been silent are left out; no requests are sent to them either.
         """
         now = time.monotonic()
         send = self._send_until_acknowledged if report.crash else self._send
@@ -76,15 +81,28 @@
             for view in related_peers(
                 self._node, self._backend.services, self._directory
             ):
-                if not view.is_silent(now):
+                if view.is_silent(now):
+                    continue
+                if any(map(view.member.accepts, self._backend.services)):
                     tasks.start_soon(send, view, report)
+                else:
+                    self._start(self._send(view, report))
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Run a coroutine without waiting for it."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _send(
         self, view: routing.PeerView, report: messages.CrashReport
     ) -> None:
         channel = self._channel_to(view, messages.Lane.SHORT)
-        await channel.wait_connected()
-        with contextlib.suppress(sockets.NotSentError):
+        with (
+            anyio.move_on_after(crash_tracker.BROADCAST_TIMEOUT_S),
+            contextlib.suppress(sockets.NotSentError),
+        ):
+            await channel.wait_connected()
             channel.send(report)
 
     async def _send_until_acknowledged(
--- a/tests/process/test_crash_broadcast.py
+++ b/tests/process/test_crash_broadcast.py
@@ -29,6 +29,16 @@
 ]
 
 
+# Title, services of a member that acknowledges nothing, and the wait for it.
+WAIT_CASES = [
+    (
+        'may get the retry',
+        (SERVICE,),
+        crash_tracker.BROADCAST_TIMEOUT_S,
+    ),
+    ('has no server', (), 0.0),
+    ('serves another service', ('other',), 0.0),
+]
 # Title, services of a member and whether it drains, other members, and whether
 # it hears of the crash. A member without a server will have one again.
 AUDIENCE_CASES = [
@@ -78,7 +88,7 @@
 
 
 class CrashBroadcastTest(virtual_time.VirtualTimeTestCase):
-    async def _report(self, loop, delays):
+    async def _report(self, loop, delays, services=(SERVICE,)):
         """Report a crash; return the time taken and the peer."""
         peer = FakePeer(delays, loop)
         table = exchanges.ExchangeTable(
@@ -88,7 +98,9 @@
         directory = member_directory.MemberDirectory(
             messages.NodeId('n1'), objects.DataCentreName('a')
         )
-        directory.put(test_member_directory.member('n2', 'a'))
+        directory.put(
+            test_member_directory.member('n2', 'a', services=services)
+        )
         tracker = crash_tracker.CrashTracker(
             metrics_module.Metrics(), loop.time, 2
         )
@@ -151,6 +163,8 @@
                 table,
                 lambda view, lane: peer,
             ).broadcast(messages.CrashReport('c1', [DIGEST], 5000))
+            # Some are not waited for.
+            await anyio.sleep(0.01)
             return peer.tracker.quarantine.state_of(DIGEST, 0.0)
 
         for title, *case, is_told in AUDIENCE_CASES:
@@ -162,6 +176,16 @@
                     is_told, state is quarantine.QuarantineState.SUSPECT
                 )
 
+    def test_only_nodes_that_may_get_the_retry_delay_it(self):
+        for title, services, expected_s in WAIT_CASES:
+            with self.subTest(title):
+                elapsed_s, _ = self.run_virtual(
+                    lambda loop, services=services: self._report(
+                        loop, [None], services
+                    )
+                )
+                self.assertAlmostEqual(expected_s, elapsed_s, delta=0.01)
+
     def test_a_repeated_report_counts_one_crash(self):
         async def main(loop):
             peer = FakePeer([], loop)
