--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -332,8 +332,8 @@
 class CrashReport(msgspec.Struct, array_like=True, tag='Z'):
     """Report a crash of a backend server and the requests running in it.
 
-    Fingerprints are digests of service, route and body; `remaining_ms` is
-    how long the report stays valid. A report with an empty `crash` clears
+    Each request has one or two fingerprints (`quarantine`); `remaining_ms`
+    is how long the report stays valid. A report with an empty `crash` clears
     its fingerprints of suspicion. The receiver acknowledges a report that
     has an attempt id.
     """
