--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -2,10 +2,11 @@
 
 Objects by kind and name with one revision counter, conditional writes, lists
 and watches, as PROTOCOL.md describes them. Nothing fails unless a test cuts
-the connections.
+the connections or restores the store from a copy.
 """
 
 import asyncio
+import copy
 import json
 import urllib.parse
 
@@ -21,7 +22,9 @@
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.events: list[tuple[int, str, dict]] = []
-        self.calls: list[str] = []
+        self.era = 1
+        self._oldest = 1
+        self._writers: set[asyncio.StreamWriter] = set()
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -45,19 +48,42 @@
         found = self.objects.get((kind, name))
         return found and found['spec']
 
+    def take_copy(self) -> tuple[int, dict]:
+        """Return a copy, from which the store can be restored."""
+        return self.revision, copy.deepcopy(self.objects)
+
+    def restore(self, taken: tuple[int, dict]) -> None:
+        """Come back from a copy, in a new era; reset all connections.
+
+        What the operator wrote since the copy is written again.
+        """
+        main = self.objects.get(('config', 'main'))
+        self.revision, self.objects = taken[0], copy.deepcopy(taken[1])
+        self.events, self._oldest = [], self.revision
+        self.era += 1
+        if main is not None and main['spec'] != self.spec('config', 'main'):
+            self.put_config(main['spec'])
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 req = await wire.read_request_head(reader)
                 req.body = await wire.read_body(reader, req.headers)
                 status, document = await self._handle(req)
                 body = json.dumps(document).encode()
-                content = {'Content-Type': 'application/json'}
+                content = {
+                    'Content-Type': 'application/json',
+                    'Store-Era': str(self.era),
+                }
                 writer.write(wire.encode_response(status, content, body))
                 await writer.drain()
         except (OSError, EOFError, ValueError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             wire.close(writer)
 
     async def _handle(self, req: wire.Request) -> tuple[int, dict]:
@@ -72,7 +98,6 @@
         if req.method == 'GET':
             found = self.objects.get((kind, name))
             return (200, found) if found else (404, {})
-        self.calls.append(f'{req.method} {parts.path}')
         return self._write(req, kind, name, query)
 
     def _list(self, kind: str, after: str) -> dict:
@@ -89,6 +114,8 @@
 
     async def _watch(self, kind: str, query: dict) -> tuple[int, dict]:
         after = int(query['watch'])
+        if not self._oldest <= after <= self.revision:
+            return 410, {}
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query.get('wait_ms', '0')) / 1000
         while True:
