Ignore odd figures in the responses of a server

What callers saw: with a server that hands out a load header with a figure of 400 digits the node beside it ended, again after each start.

Cause: load_report_of divided an integer of any length. The OverflowError ended the task group of the node when the poller read the header. When an attempt read it, the job ended without a reply.

Related paths, same cause: a status outside 100 to 599 raised a KeyError in the HTTP server or was taken for an interim response; a long deadline header of a caller was answered as a fault of the node, 502, for a request that was never sent.

Change: figures of a load header have at most nine digits; such a status makes the response invalid; long deadlines count as that of the route. An unexpected error no longer ends the poller, and an attempt that meets one is answered with node_fault.

--- a/jayflow/connection/backend_client.py
+++ b/jayflow/connection/backend_client.py
@@ -33,7 +33,9 @@
     rb'(?:^|[,;\s])timeout=([0-9]{1,6})(?![^,;\s])'
 )
 SWITCHING_PROTOCOLS = 101
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
@@ -289,6 +291,10 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fail(ConnectionFault.INVALID)
+            self.close()
+            return
         self._is_interim = status < FIRST_FINAL_STATUS
         if self._is_interim:
             self.headers = []
--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -4,6 +4,8 @@
 the users' platform.
 """
 
+import re
+
 from jayflow.connection import messages
 from jayflow.platform import protocol
 from jayflow.request import header_dialect
@@ -15,6 +17,8 @@
 # The fourth figure of a load header is the current service time in hundredths
 # of the usual one: 700 means seven times as long.
 SLOWNESS_SCALE = 100
+# Longer figures are the work of a faulty server; these fit into a message.
+_FIGURE = re.compile(rb'\s*[0-9]{1,9}\s*')
 
 
 def classify(
@@ -53,7 +57,7 @@
         return None
     figures = value.split(b',')
     if not 3 <= len(figures) <= 4 or not all(
-        figure.strip().isdigit() for figure in figures
+        _FIGURE.fullmatch(figure) for figure in figures
     ):
         return None
     running, waiting, slots, *hundredths = (int(digits) for digits in figures)
--- a/jayflow/process/load_polling.py
+++ b/jayflow/process/load_polling.py
@@ -10,6 +10,7 @@
 import anyio
 
 from jayflow.connection import backend_client
+from jayflow import logs
 from jayflow.request import executor as executors
 from jayflow.version import objects
 
@@ -51,6 +52,8 @@
     ) -> None:
         self._executor = executor
         self._find_service = find_service
+        self._has_logged_fault = False
+        self._log = logs.get_logger(logs.Component.EXECUTOR)
 
     async def run(self) -> None:
         """Poll until cancelled, except while the last report is recent."""
@@ -87,3 +90,10 @@
                 # A failed poll has no effect: whether the server is gone shows
                 # when a request is sent to it.
                 return
+            except Exception:
+                if not self._has_logged_fault:
+                    self._has_logged_fault = True
+                    self._log.exception(
+                        'Response to a poll of the load can not be read; '
+                        'later faults are not logged.'
+                    )
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -477,6 +477,14 @@
             job.end(
                 messages.AttemptFailed, Reason.PEER_UNREACHABLE, self.load()
             )
+        except Exception:
+            conn.prevent_reuse()
+            self._log.exception(
+                'Unhandled exception in the node while running an attempt.',
+                id=self._request_id(start),
+            )
+            self._metrics.count_refusal(Reason.NODE_FAULT)
+            job.end(messages.AttemptFailed, Reason.NODE_FAULT, self.load())
         finally:
             job.pool.release(conn)
 
--- a/jayflow/request/headers.py
+++ b/jayflow/request/headers.py
@@ -9,6 +9,8 @@
 DEADLINE_HEADER = b'jayflow-deadline-ms'
 MAX_KEY_BYTES = 255
 _DECIMAL = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,20})?')
+# A deadline with more digits lies beyond that of any request.
+MAX_DEADLINE_DIGITS = 15
 _HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -103,7 +105,10 @@
         raise InvalidHeaderError(
             'jayflow-deadline-ms must be whole milliseconds'
         )
-    return min(default_s, int(value) / 1000)
+    digits = value.lstrip(b'0') or b'0'
+    if len(digits) > MAX_DEADLINE_DIGITS:
+        return default_s
+    return min(default_s, int(digits) / 1000)
 
 
 def idempotency_key(headers: messages.Headers) -> bytes | None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -3,9 +3,14 @@
 import math
 import unittest
 
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
 from jayflow.connection import messages
 from jayflow.platform import headers
 from jayflow.request import header_dialect
+from jayflow.request import headers as http_headers
 
 ID = (b'jayflow-request-id', b'1')
 SIGNED = (b'jayflow-server-signature', b's')
@@ -44,12 +49,20 @@
     ('408 without it', 408, [ID, SIGNED], ResponseKind.INVALID),
     ('misdirected request', 421, [], ResponseKind.WRONG_INSTANCE),
 ]
+LARGEST_LOAD = messages.LoadReport(3, 1, 8, 9_999_999.99)
 LOADS = [
     ('three figures', b'3,0,8', messages.LoadReport(3, 0, 8, 1.0)),
     ('with slowness', b'3,1,8,700', messages.LoadReport(3, 1, 8, 7.0)),
     ('not a number', b'3,x,8', None),
     ('too few figures', b'3', None),
     ('negative number', b'-3,0,8', None),
+    ('largest slowness', b'3,1,8,999999999', LARGEST_LOAD),
+    ('figure beyond 64 bits', b'3,0,%d' % 2**64, None),
+    ('figure beyond a float', b'0,0,18,' + b'1' * 400, None),
+    ('more digits than int() takes', b'0,0,18,' + b'1' * 5000, None),
+    ('not finite', b'0,0,18,inf', None),
+    ('empty figure', b'0,0,18,', None),
+    ('digits of another script', '0,0,18,\u0661'.encode(), None),
 ]
 RATE_LIMITS = [
     ('none', [ID], math.inf),
@@ -64,7 +77,13 @@
     ('negative', [(b'server-limit', b'-1')], None),
     ('no number', [(b'server-limit', b'nan')], None),
     ('empty', [(b'server-limit', b'')], None),
+    ('too many digits', [(b'server-limit', b'1' * 400)], None),
 ]
+FIGURES = st.text('0123456789,.;-+eE infa\u0661 ', max_size=24) | st.builds(
+    lambda digits, count: digits * count,
+    st.sampled_from(['1', '9,', '0.1', '-7']),
+    st.sampled_from([1, 20, 400, 5000]),
+)
 
 
 class HeadersTest(unittest.TestCase):
@@ -82,6 +101,36 @@
                 self.assertEqual(expected, report)
         self.assertIsNone(headers.load_report_of([]))
 
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(FIGURES)
+    def test_an_odd_figure_in_a_header_raised_an_error(self, text):
+        value = text.encode()
+        rows = [
+            (name, value)
+            for name in (
+                b'jayflow-server-load',
+                b'server-limit',
+                b'server-leaving',
+                b'retry-after',
+                b'etag',
+                b'content-length',
+            )
+        ]
+        report = headers.load_report_of(rows)
+        if report is not None:
+            messages.encode(
+                messages.Refused(
+                    messages.AttemptId(1, 1),
+                    '',
+                    messages.Load(*msgspec.structs.astuple(report)[:3], 0.0),
+                )
+            )
+            self.assertTrue(math.isfinite(report.slowness))
+        headers.rate_limit_of(rows)
+        headers.is_leaving(rows)
+        headers.classify(200, rows)
+        http_headers.decimal_of(rows, b'retry-after')
+
     def test_rate_limits_are_decoded(self):
         for title, rows, expected in RATE_LIMITS:
             with self.subTest(title):
