Keep the record of a departure when its node stops

Cause: a node that stops without a server deleted its member record, with the departures that it names. The next process accepted a late heartbeat. Servers that said they were draining were kept in memory only, so a second restart forgot them, and an outdated announcement of a drain was acknowledged before it was stored.

Change: the record stays while a process of a server that left may still run; a node that stops asks for a connection to find out. The record also names the servers that are leaving. Each acknowledgement of a drain waits for the store. The decision and the description of the node move from node.py to own_member.py.

A test that assigned `departed` now restores a record instead, as the attribute is a property.

--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -37,8 +37,9 @@
     """Represent what one node publishes about itself to all others.
 
     `has_seat` is whether the node holds a seat of each link of its region.
-    `left` lists the backend servers that left last, so that the node also
-    rejects their late announcements after its own restart. `quarantined`
+    `left` lists the backend servers that left last, and `leaving` those that
+    said that they would, so that the node also rejects their late
+    announcements after its own restart. `quarantined`
     lists the requests whose last crash was one of its own server, so that
     nodes which restart refuse them as well.
     """
@@ -56,6 +57,7 @@
     born: int = 0
     left: tuple[messages.ServerIncarnation, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
+    leaving: tuple[messages.ServerIncarnation, ...] = ()
 
     @property
     def key(self) -> str:
@@ -100,7 +102,7 @@
         return f'host {member.host!r} is not a host name or IP'
     if not 0 < member.port <= value_parsers.MAX_PORT:
         return f'port {member.port} is not from 1 to {value_parsers.MAX_PORT}'
-    start_times = [server.born for server in member.left]
+    start_times = [server.born for server in (*member.left, *member.leaving)]
     numbers = [member.incarnation, member.slots, member.born, *start_times]
     if not all(map(messages.is_sendable, numbers)):
         return f'one of the numbers {numbers} is out of range'
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -35,6 +35,7 @@
 from jayflow.process import member_writer
 from jayflow.process import message_router
 from jayflow.process import monitoring
+from jayflow.process import own_member
 from jayflow.process import platform_pauses
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.process import server_registration
@@ -200,17 +201,25 @@
         self._member_writer = member_writer.MemberWriter(
             self._platform,
             members.KEY_PREFIX + cfg.name,
-            self._own_member,
+            lambda: self._own_member.to_store(),
             self._platform_pause,
         )
         self._registration = server_registration.ServerRegistration(
             self._executor, self._member_writer, self._is_known_service
         )
         self._registration.is_restored = False
+        self._own_member = own_member.OwnMember(
+            cfg,
+            self.incarnation,
+            self._executor,
+            self._registration.announcement_order,
+            lambda: self._link_budgets.holds_all_seats(),
+            keeps_server=environment is not environments.STANDALONE,
+        )
         self._record_listed = anyio.Event()
         self._publisher = state_publishing.StatePublisher(
             self._executor,
-            self._describe_self,
+            self._own_member.describe,
             lambda: self._active_version.current.number,
             self._platform_age_s,
             lambda peer, state: self._message_router.send(peer, state),
@@ -221,7 +230,7 @@
             self._directory,
             self._peer_connections,
             self._exchange_table.new_attempt_id,
-            self._describe_self,
+            self._own_member.describe,
             lambda: self._active_version.current.number,
         )
         self._load_poller = load_polling.LoadPoller(
@@ -533,6 +542,7 @@
     ) -> None:
         self._executor.stop_accepting()
         with anyio.move_on_after(self._cfg.call_deadline):
+            await self._own_member.check_server()
             await self._member_writer.reconcile()
             await self._link_budgets.release_seats()
         await anyio.sleep(self._live.current.leave_time)
@@ -624,18 +634,6 @@
         except KeyError:
             return objects.DEFAULT_QUARANTINE_S
 
-    def _own_member(self) -> members.Member | None:
-        """Return the member record to store, or None to store none."""
-        departed = self._registration.announcement_order.departed
-        accepts = self._executor.backend.announcement is not None
-        is_leaving = self._executor.is_stopping and (
-            self._environment is environments.STANDALONE or not accepts
-        )
-        quarantined = self._executor.crash_tracker.own_record.current()
-        if is_leaving or not (accepts or departed or quarantined):
-            return None
-        return self._describe_self()
-
     def _is_known_service(self, name: objects.ServiceName) -> bool:
         version = self._active_version.current
         # With jayflow's own control interface a server may start before its
@@ -645,26 +643,8 @@
             return True
         return name in version.objects.service
 
-    def _describe_self(self) -> members.Member:
-        announced = self._executor.backend.announcement
-        return members.Member(
-            self._cfg.name,
-            self.incarnation,
-            self._cfg.data_centre,
-            self._cfg.peer.host,
-            self._cfg.peer.port,
-            announced.services if announced else (),
-            announced.max_concurrency if announced else 0,
-            announced.draining if announced else False,
-            self._link_budgets.holds_all_seats(),
-            announced.instance if announced else '',
-            announced.born if announced else 0,
-            self._registration.announcement_order.departed,
-            self._executor.crash_tracker.own_record.current(),
-        )
-
     def _on_own_member_change(self) -> None:
-        self._directory.put(self._describe_self())
+        self._directory.put(self._own_member.describe())
         self._member_writer.notify()
         self._crash_recovery.notify()
         self._publisher.publish()
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -3,7 +3,8 @@
 Announcements can arrive late and out of order, also from a server that
 has gone. A server that announced its departure is never used again. The
 departure is written to the platform before it is acknowledged, so that the
-node's next process knows of it as well.
+node's next process knows of it as well; so is what a server says when it
+drains.
 """
 
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import logs
+from jayflow.process import departures
 from jayflow.process import member_writer as member_writers
 from jayflow.request import executor as executors
 from jayflow.version import objects
@@ -21,11 +23,9 @@
 
 # A server calls the next node if it gets no response within 1 s.
 DEPARTURE_WRITE_TIMEOUT_S = 0.8
-# Departed servers that the member record names; beyond it, the oldest is
-# dropped.
+# Departed servers that the member record names, and those that are leaving;
+# beyond it, the oldest is dropped.
 MAX_DEPARTED = 16
-
-
 # Time for a server to announce itself to a restarted node: two intervals of
 # 1.5 s between announcements and some delay.
 RESTORED_VALID_S = 4.0
@@ -50,24 +50,33 @@
     """
 
     def __init__(self) -> None:
-        self.departed: tuple[messages.ServerIncarnation, ...] = ()
-        self.draining: messages.ServerIncarnation | None = None
+        self._departed = departures.Departures(MAX_DEPARTED)
+        # Those that state no start time may become ready again.
+        self._leaving = departures.Departures(MAX_DEPARTED)
         # (start time, sequence) of the newest announcement, by instance.
         self._newest: dict[str, tuple[int, int]] = {}
         self._current: messages.ServerIncarnation | None = None
 
+    @property
+    def departed(self) -> tuple[messages.ServerIncarnation, ...]:
+        """Return the servers that have left."""
+        return self._departed.servers()
+
+    @property
+    def leaving(self) -> tuple[messages.ServerIncarnation, ...]:
+        """Return the servers that are leaving, or were when they left."""
+        return self._leaving.servers()
+
     def admit(
         self, announcement: announcements.Announcement
     ) -> AnnounceResult:
         """Return whether an announcement is current; if so, record it."""
         server = announcement.incarnation
-        if self._has_left(server):
+        if server in self._departed:
             return AnnounceResult.LEFT
-        if (
-            announcement.born
-            and server == self.draining
-            and not announcement.draining
-        ):
+        if announcement.draining:
+            self.record_leaving(server)
+        elif server in self._leaving:
             return AnnounceResult.STALE
         position = (announcement.born, announcement.sequence)
         if announcement.sequence and position <= self._newest.get(
@@ -78,30 +87,25 @@
             return AnnounceResult.STALE
         self._newest = {announcement.instance: position}
         self._current = server
-        if announcement.draining:
-            self.draining = server
         return AnnounceResult.ACCEPTED
 
     def restore(self, stored: members.Member) -> None:
         """Restore the departures that the node's last process recorded."""
-        self.departed = stored.left
+        self._departed.update(stored.left)
+        self._leaving.update(stored.leaving)
         if stored.draining:
-            self.draining = messages.ServerIncarnation(
-                stored.instance, stored.born
-            )
+            self.record_leaving(stored.server)
 
-    def record_draining(self, server: messages.ServerIncarnation) -> None:
-        """Record that a server is leaving, unless another one replaced it."""
-        if server == self._current:
-            self.draining = server
+    def record_leaving(self, server: messages.ServerIncarnation) -> bool:
+        """Record that a server is leaving; return whether that is new."""
+        return bool(server.born) and self._leaving.add(server)
 
     def record_departure(self, server: messages.ServerIncarnation) -> bool:
         """Record that a server left; return whether it was the current one.
 
         Earlier starts under the same instance name have left as well.
         """
-        if not self._has_left(server):
-            self.departed = (*self.departed, server)[-MAX_DEPARTED:]
+        self._departed.add(server)
         current = self._current
         is_current = current is not None and _is_same_or_earlier(
             current, server
@@ -116,11 +120,6 @@
             return self._current.born
         return now_ms
 
-    def _has_left(self, server: messages.ServerIncarnation) -> bool:
-        return any(
-            _is_same_or_earlier(server, departed) for departed in self.departed
-        )
-
     def _is_older(self, server: messages.ServerIncarnation) -> bool:
         """Return whether another server started before the current one."""
         current = self._current
@@ -216,6 +215,8 @@
                     instance=announcement.instance,
                     sequence=announcement.sequence,
                 )
+            if announcement.draining:
+                return await self._confirm_late_drain(announcement, result)
             return result
         previous = self.executor.backend.announcement
         self.executor.apply_announcement(announcement)
@@ -229,8 +230,13 @@
 
     def record_leaving(self, server: messages.ServerIncarnation) -> None:
         """Handle a response in which a server says that it is leaving."""
-        self.announcement_order.record_draining(server)
-        self.executor.drain_server(server)
+        if self.announcement_order.record_leaving(server):
+            self.executor.on_state_change()
+        if self.executor.drain_server(server):
+            self._log.info(
+                'Server says in a response that it is leaving.',
+                instance=server.instance,
+            )
 
     async def withdraw(self, instance: str, born: int = 0) -> AnnounceResult:
         """Handle a server's message that it has left for good.
@@ -252,6 +258,17 @@
             self.executor.on_state_change()
         return await self._confirm_departure()
 
+    async def _confirm_late_drain(
+        self, announcement: announcements.Announcement, result: AnnounceResult
+    ) -> AnnounceResult:
+        """Return the result of an outdated announcement of a drain.
+
+        Its acknowledgement binds the node like that of any other.
+        """
+        self.executor.drain_server(announcement.incarnation)
+        confirmed = await self._confirm_departure()
+        return result if confirmed is AnnounceResult.ACCEPTED else confirmed
+
     async def _confirm_departure(self) -> AnnounceResult:
         """Wait until the platform holds the departure.
 
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -18,6 +18,7 @@
 from jayflow.request import rate_limit
 from jayflow.request import slowdowns
 from jayflow.version import objects
+from jayflow.version import value_parsers
 
 # Slowness assumed for a server that has just started: its caches are empty
 # and its code is not compiled yet.
@@ -51,6 +52,7 @@
         self.services: tuple[objects.ServiceName, ...] = ()
         self.has_responded = False
         self.load_reported_at = 0.0
+        self.address: value_parsers.Address | None = None
         self.pool: backend_client.Pool | None = None
         self._clock = clock
         self._dialect = dialect
@@ -109,7 +111,9 @@
                 instance=server_announcement.instance,
                 port=server_announcement.port,
             )
-        address = (server_announcement.host, server_announcement.port)
+        address = self.address = value_parsers.Address(
+            server_announcement.host, server_announcement.port
+        )
         if self.pool is None or (self.pool.host, self.pool.port) != address:
             self._replace_pool(backend_client.Pool(*address, self._dialect))
 
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -92,7 +92,7 @@
         self.on_state_change: Callable[[], None] = lambda: None
         self.on_slowness_change: Callable[[], None] = lambda: None
         self.on_server_leaving: Callable[
-            [messages.ServerIncarnation], None
+            [messages.ServerIncarnation], object
         ] = self.drain_server
         self.link_budget_for: LinkBudgetFor = _no_link_budget
         self.is_stopping = False
@@ -195,22 +195,22 @@
         self.apply_announcement(server_announcement)
         self.backend.announced_at += valid_s - self._announcement_ttl_s
 
-    def drain_server(self, server: messages.ServerIncarnation) -> None:
-        """Refuse new attempts if this server is still the current one."""
+    def drain_server(self, server: messages.ServerIncarnation) -> bool:
+        """Refuse new attempts if this server is still the current one.
+
+        Returns whether it was not draining yet.
+        """
         announced = self.backend.announcement
         if (
             announced is None
             or announced.incarnation != server
             or announced.draining
         ):
-            return
-        self._log.info(
-            'Server says in a response that it is leaving.',
-            instance=server.instance,
-        )
+            return False
         self.apply_announcement(
             msgspec.structs.replace(announced, draining=True)
         )
+        return True
 
     def remove_server(self) -> None:
         """Drop the backend server; new attempts are refused."""
--- a/tests/process/test_server_registration.py
+++ b/tests/process/test_server_registration.py
@@ -171,7 +171,7 @@
 
     def test_restored_departures_are_respected(self):
         order = server_registration.AnnouncementOrder()
-        order.departed = (messages.ServerIncarnation('i1', 10),)
+        order.restore(_member(left=DEPARTED))
         self.assertIs(
             AnnounceResult.LEFT, order.admit(new_announcement(sequence=5))
         )
