Hold the route's timeout for the whole response

Cause: the deadline of a policy is that of the response head. The adapter for the users' platform put the timeout of a route there, which is that of the whole answer. Afterwards only limits of 30 s for a silent part held, and none for a body that trickles or never ends.

Change: a policy says what its deadline covers (deadline-scope: head or response); the adapter chooses the response. Then it bounds every wait of an exchange, on both nodes. A response of which the caller has got nothing ends as unknown, 504; a stream is closed. The credit for an upload and the caller's own body no longer outlast the try either. A resumed download gets what is left of the time instead of a new deadline.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -87,7 +87,8 @@
     `latency_target_ms` is what remains of the latency target, within which
     a response is worth most; 0 means no target. `expected_service_ms` is
     the expected service time on a server of usual speed. `suspect` marks a
-    request that may have crashed a server.
+    request that may have crashed a server. With `bounds_response`, the whole
+    response has to arrive within `remaining_ms`, else only its head.
     """
 
     attempt: AttemptId
@@ -109,6 +110,7 @@
     latency_target_ms: int = 0
     expected_service_ms: int = 0
     slot_share: float = 1.0
+    bounds_response: bool = False
 
 
 class RequestPart(msgspec.Struct, array_like=True, tag='B'):
--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -182,6 +182,7 @@
         queue_time=route.timeout_s,
         latency_target=route.target_latency_s,
         priority=route.priority,
+        deadline_scope=objects.DeadlineScope.RESPONSE,
     )
 
 
--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -5,6 +5,7 @@
 outcome is unknown.
 """
 
+import math
 import time
 
 import anyio
@@ -82,19 +83,23 @@
             if req.policy.latency_target
             else 0,
             expected_service_ms=int(work_s * 1000),
+            bounds_response=math.isfinite(req.response_deadline),
         )
         self._exchange.channel.send(start)
 
     async def wait_for_response(self) -> Result:
         """Wait for the response or a failure; revoke after the timeout."""
         while True:
-            remaining_s = self._started_at + self._timeout_s - time.monotonic()
+            remaining_s = self._remaining_s()
             wait_s = REVOKE_TIMEOUT_S if self._is_revoking else remaining_s
             message = await self._exchange.next_message(max(0.0, wait_s))
             result = await self._handle(message, remaining_s <= 0)
             if result is not None:
                 return result
 
+    def _remaining_s(self) -> float:
+        return self._started_at + self._timeout_s - time.monotonic()
+
     async def _handle(self, message, is_late: bool) -> Result | None:
         """Return the result after a message, None to keep waiting.
 
@@ -110,7 +115,8 @@
                 self._view.record_failure(time.monotonic())
                 return outcome.Unknown(Reason(message.reason))
             case messages.Credit():
-                await self._send_body()
+                with anyio.move_on_after(self._remaining_s()):
+                    await self._send_body()
             case messages.Revoked():
                 return self._on_revoked(message, is_late)
             case None if self._is_revoking or self._req.is_body_started:
@@ -126,7 +132,11 @@
         now = time.monotonic()
         self._record_load(head.load)
         response = responses.Response(
-            head, self._exchange, self._view.member.node, self.end
+            head,
+            self._exchange,
+            self._view.member.node,
+            self.end,
+            self._req.response_deadline,
         )
         is_error = header_dialect.is_server_error(head.status)
         if is_error or head.status in responses.SHED_STATUSES:
--- a/jayflow/request/caller_request.py
+++ b/jayflow/request/caller_request.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import math
 import time
 
 from jayflow.connection import messages
@@ -49,6 +50,13 @@
             return messages.Lane.BULK
         return messages.Lane.SHORT
 
+    @property
+    def response_deadline(self) -> float:
+        """Return when the whole response has to be there, or infinity."""
+        if self.policy.deadline_scope is objects.DeadlineScope.RESPONSE:
+            return self.deadline
+        return math.inf
+
     def remaining_target_s(self) -> float:
         """Return the seconds left until the policy's latency target."""
         elapsed_s = time.monotonic() - self.arrived_at
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -249,6 +249,8 @@
                     sent_bytes += len(data)
                     yield data, not response.is_complete
                 return
+            except responses.ResponseDeadlineError:
+                raise
             except responses.TruncatedResponseError:
                 if transfer is None or not req.is_idempotent:
                     raise
@@ -273,7 +275,9 @@
         rest_req = dataclasses.replace(
             req,
             headers=transfer.range_request_headers(req.headers, sent_bytes),
-            deadline=time.monotonic() + req.policy.deadline,
+            deadline=min(
+                time.monotonic() + req.policy.deadline, req.response_deadline
+            ),
         )
         response = await self._attempt(rest_req, view)
         if not isinstance(response, responses.Response):
@@ -361,6 +365,8 @@
                 )
             is_returned = True
             return result
+        except responses.ResponseDeadlineError:
+            return outcome.Unknown(Reason.DEADLINE)
         except responses.TruncatedResponseError:
             return outcome.Unknown(Reason.RESPONSE_TRUNCATED)
         finally:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -5,6 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import math
 import random
 import time
 
@@ -294,12 +297,17 @@
             headers = self._response_headers(
                 scope, response, response.is_complete
             )
-            await _send_head(send, response.status, headers)
-            await _send_body(send, response.data, not response.is_complete)
-            async for data, more in self._dispatcher.stream_rest(
-                req, response
-            ):
-                await _send_body(send, data, more)
+            # A caller that does not read makes each send wait.
+            deadline = (
+                math.inf if response.is_complete else req.response_deadline
+            )
+            with _until(deadline):
+                await _send_head(send, response.status, headers)
+                await _send_body(send, response.data, not response.is_complete)
+                async for data, more in self._dispatcher.stream_rest(
+                    req, response
+                ):
+                    await _send_body(send, data, more)
             self._metrics.count_event(metrics_module.Event.ANSWERED)
         except responses.TruncatedResponseError:
             self._metrics.count_refusal(Reason.RESPONSE_TRUNCATED)
@@ -388,6 +396,20 @@
         return message['body'], message['more_body']
 
 
+@contextlib.contextmanager
+def _until(deadline: float) -> Iterator[None]:
+    """Raise ResponseDeadlineError if the block lasts until a deadline."""
+    if math.isinf(deadline):
+        yield
+        return
+    remaining_s = max(0.0, deadline - time.monotonic())
+    try:
+        with anyio.fail_after(remaining_s):
+            yield
+    except TimeoutError as exc:
+        raise responses.ResponseDeadlineError from exc
+
+
 def _text(value: bytes | None) -> str:
     return (value or b'').decode('latin-1')
 
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -72,7 +72,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the deadline passed or the transfer has stalled."""
-        if self.head_received_at is None:
+        if self.head_received_at is None or self.start.bounds_response:
             return now > self._deadline
         return now > self._progress_at + STALL_TIMEOUT_S
 
--- a/jayflow/request/response.py
+++ b/jayflow/request/response.py
@@ -6,6 +6,8 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import math
+import time
 
 from jayflow.connection import messages
 from jayflow.connection import sockets
@@ -23,8 +25,15 @@
     """Report that the remaining parts of a response will not arrive."""
 
 
+class ResponseDeadlineError(TruncatedResponseError):
+    """Report that the deadline passed before the last part arrived."""
+
+
 class Response:
-    """Hold a response head and iterate over the parts of its body."""
+    """Hold a response head and iterate over the parts of its body.
+
+    The deadline, in monotonic seconds, is that of the last part.
+    """
 
     def __init__(
         self,
@@ -32,6 +41,7 @@
         exchange: exchanges.Exchange,
         node: messages.NodeId,
         on_end: Callable[[], None],
+        deadline: float = math.inf,
     ) -> None:
         self.node = node
         self.status = head.status
@@ -44,6 +54,7 @@
         self._on_end = on_end
         self._is_closed = False
         self._last_seq = 0
+        self._deadline = deadline
 
     @property
     def is_complete(self) -> bool:
@@ -83,12 +94,17 @@
 
         Raises TruncatedResponseError if a part is missing or is not received
         in PART_TIMEOUT_S. Once the peer connection is lost, the wait is only
-        LOST_CONNECTION_TIMEOUT_S: the next part may be lost as well.
+        LOST_CONNECTION_TIMEOUT_S: the next part may be lost as well. Raises
+        ResponseDeadlineError once the deadline has passed.
         """
         timeout_s = PART_TIMEOUT_S
         attempt = self._exchange.attempt
         while not self._is_complete:
-            message = await self._exchange.next_message(timeout_s)
+            message = await self._exchange.next_message(
+                max(0.0, min(timeout_s, self._deadline - time.monotonic()))
+            )
+            if time.monotonic() >= self._deadline:
+                raise ResponseDeadlineError
             match message:
                 case messages.ResponsePart() if (
                     message.seq == self._last_seq + 1
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -61,6 +61,13 @@
     IGNORED = 'ignored'
 
 
+class DeadlineScope(enum.Enum):
+    """Say which part of a response has to arrive within the deadline."""
+
+    HEAD = 'head'
+    RESPONSE = 'response'
+
+
 class _Object(msgspec.Struct, frozen=True):
     """Build a configuration object from its section."""
 
@@ -149,6 +156,7 @@
     quarantine: float = DEFAULT_QUARANTINE_S
     latency_target: float = 0.0
     priority: int | None = None
+    deadline_scope: DeadlineScope = DeadlineScope.HEAD
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field(
@@ -169,6 +177,11 @@
         Field('quarantine', value_parsers.seconds, DEFAULT_QUARANTINE_S),
         Field('latency-target', value_parsers.seconds, 0.0),
         Field('priority', value_parsers.non_negative_int),
+        Field(
+            'deadline-scope',
+            value_parsers.enum_value(DeadlineScope),
+            DeadlineScope.HEAD,
+        ),
     )
 
     @property
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -1,13 +1,23 @@
-"""Test that a request waits for a starting node's first configuration."""
+"""Test how long callers of an ingress wait.
+
+A request waits for a starting node's first configuration. A caller that did
+not read its response held an exchange beyond the route's timeout.
+"""
 
 import asyncio
+import time
 import unittest
+from unittest import mock
 
 from jayflow.connection import http_server
+from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.request import exchange as exchanges
 from jayflow.request import ingress
+from jayflow.request import response as responses
 from jayflow.version import objects
 from jayflow.version import snapshot
+from tests.request import test_dispatch
 
 
 class FirstVersionTest(unittest.IsolatedAsyncioTestCase):
@@ -48,3 +58,33 @@
         for appears, expected in ((True, 404), (False, 503)):
             with self.subTest(appears=appears):
                 self.assertEqual(expected, await self._status(appears))
+
+
+class UnreadResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_caller_that_did_not_read_held_its_exchange(self):
+        timeout_s = 0.2
+        metrics = metrics_module.Metrics()
+        app = ingress.Ingress(None, None, snapshot.Version.empty, metrics)
+        ended = []
+        head = messages.ResponseHead(
+            messages.AttemptId(1, 1), 200, [], b'x', last=False, load=None
+        )
+        exchange = exchanges.ExchangeTable(1, metrics).open(mock.Mock())
+        response = responses.Response(
+            head, exchange, 'n1', lambda: ended.append(True)
+        )
+        req = test_dispatch.request(
+            policy=objects.Policy(
+                'p', deadline_scope=objects.DeadlineScope.RESPONSE
+            ),
+            deadline=time.monotonic() + timeout_s,
+        )
+
+        async def send(message):
+            if message['type'] == 'http.response.body':
+                await asyncio.sleep(100)
+
+        async with asyncio.timeout(10 * timeout_s):
+            await app._send_response({'method': 'GET'}, req, response, send)
+        self.assertEqual([True], ended)
+        self.assertEqual(1, metrics.counters['answer_aborted'])
