Remind a node of a departure that its record has lost

Cause: after a restore only the writer of a record repaired it. The peers had the newer record in memory but did not tell the node that started, and took its next description for new.

Change: nodes remember the departures that member records name, as they did those that servers state in their responses, and send these servers nothing. A node whose published state shows that it would use one is sent a ServerLeft, with each state until it knows. It drains the server and records that.

--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -74,6 +74,11 @@
         """Return the start of the backend server beside the node."""
         return messages.ServerIncarnation(self.instance, self.born)
 
+    def departures(self) -> list[messages.ServerIncarnation]:
+        """Return the backend servers that are leaving or have left."""
+        own_server = [self.server] if self.draining else []
+        return [*self.left, *self.leaving, *own_server]
+
     def accepts(self, service: objects.ServiceName) -> bool:
         """Return whether new requests for a service may be sent here."""
         return service in self.services and not self.draining
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -172,6 +172,16 @@
     must_read: bool = False
 
 
+class ServerLeft(msgspec.Struct, array_like=True, tag='t'):
+    """Remind a node that a backend server beside it is leaving or has left.
+
+    The node's member record may have lost that with a restore of the platform.
+    """
+
+    attempt: AttemptId
+    server: ServerIncarnation
+
+
 class StatusQuery(msgspec.Struct, array_like=True, tag='Q'):
     """Ask a node for its status."""
 
@@ -388,6 +398,7 @@
     | Subscribe
     | VersionQuery
     | MemberMissing
+    | ServerLeft
     | StatusQuery
     | KeyedResultQuery
     | ClaimQuery
--- a/jayflow/process/departures.py
+++ b/jayflow/process/departures.py
@@ -3,7 +3,10 @@
 A server that said so is never used again, however late its other heartbeats
 arrive; a later start of the same instance is another server. Three parts
 remember it: the node beside it, until the process of the node ends; the
-member record of that node, for its next process; and the other nodes.
+member record of that node, for its next process; and the other nodes, which
+learn of it from the record or from the node itself. They remind a node that
+has forgotten it, as a record is lost if the platform is restored from a copy
+while the node is down.
 """
 
 from collections.abc import Iterable
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -16,6 +16,7 @@
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.process import departures
 from jayflow.process import subset
 from jayflow.request import routing
 from jayflow.version import objects
@@ -51,8 +52,7 @@
         self._platform_sources: list[routing.PeerView] = []
         self._refreshed_at = -math.inf
         self._excluded_until: dict[messages.NodeId, float] = {}
-        # Ordered by age; the values are not used.
-        self._leaving: dict[messages.ServerIncarnation, None] = {}
+        self._leaving = departures.Departures(MAX_LEAVING_SERVERS)
 
     def known_members(self) -> list[members.Member]:
         """Return all known members."""
@@ -149,7 +149,9 @@
         ]
 
     def put(self, member: members.Member) -> None:
-        """Add or replace a member."""
+        """Add or replace a member; remember the departures it names."""
+        for server in member.departures():
+            self.mark_leaving(server)
         previous = self._views.get(member.node)
         if previous and previous.member == member:
             return
@@ -180,20 +182,21 @@
                 self._by_service.setdefault(service, []).append(view)
 
     def mark_leaving(self, server: messages.ServerIncarnation) -> None:
-        """Use a server no more that said in a response that it is leaving.
+        """Use a server no more that is leaving.
 
         Its own node may forget that when it restarts. A server that states
         no start time can't be told from its successor and is not recorded.
         """
-        if not server.born:
+        if not server.born or not self._leaving.add(server):
             return
-        self._leaving[server] = None
-        if len(self._leaving) > MAX_LEAVING_SERVERS:
-            del self._leaving[next(iter(self._leaving))]
         for view in self._views.values():
-            if view.member.server == server:
+            if self.forgets_departure(view.member):
                 self._drop_from_services(view.member.node)
 
+    def forgets_departure(self, member: members.Member) -> bool:
+        """Return whether a node would use a server that is leaving."""
+        return member.server in self._leaving and not member.draining
+
     def put_from_node(self, member: members.Member) -> None:
         """Add a member that described itself.
 
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -20,6 +20,7 @@
 from jayflow.process import member_directory
 from jayflow.process import member_writer as member_writers
 from jayflow.process import platform_objects
+from jayflow.process import server_registration
 from jayflow.process import state_publishing
 from jayflow.process import status_reporter as status_reporters
 from jayflow.request import claim_routing
@@ -43,6 +44,7 @@
     publisher: state_publishing.StatePublisher
     subscriptions: state_publishing.PeerSubscriptions
     member_writer: member_writers.MemberWriter
+    registration: server_registration.ServerRegistration
     status_reporter: status_reporters.StatusReporter
     active_version: member_directory.ActiveVersion
     idempotent_runner: idempotency.IdempotentRunner
@@ -114,6 +116,8 @@
                 reply(messages.VersionAnswer(attempt, encoded))
             case messages.MemberMissing():
                 self._handlers.member_writer.mark_missing(message.must_read)
+            case messages.ServerLeft():
+                self._handlers.registration.recall_departure(message.server)
             case messages.StatusQuery(attempt):
                 status = self._handlers.status_reporter.status()
                 reply(messages.Status(attempt, status))
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -293,6 +293,7 @@
                 self._publisher,
                 self._subscriptions,
                 self._member_writer,
+                self._registration,
                 self._status_reporter,
                 self._active_version,
                 self._idempotent_runner,
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -238,6 +238,17 @@
                 instance=server.instance,
             )
 
+    def recall_departure(self, server: messages.ServerIncarnation) -> None:
+        """Handle a departure that a peer remembers and this node does not."""
+        if self.announcement_order.record_leaving(server):
+            self._log.info(
+                'Departure of the server is known from a peer.',
+                instance=server.instance,
+                born=server.born,
+            )
+            self.executor.on_state_change()
+        self.executor.drain_server(server)
+
     async def withdraw(self, instance: str, born: int = 0) -> AnnounceResult:
         """Handle a server's message that it has left for good.
 
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -375,6 +375,13 @@
         view.last_heard_at = now
         view.platform_heard_at = now - state.platform_age_s
         view.record_load(state.load, now)
+        if self._directory.forgets_departure(view.member):
+            self._send(
+                view.member,
+                messages.ServerLeft(
+                    self._new_attempt_id(), view.member.server
+                ),
+            )
         is_newer = state.version > self._version()
         if (
             is_newer
--- a/tests/process/test_departure_orders.py
+++ b/tests/process/test_departure_orders.py
@@ -1,8 +1,9 @@
 """Check that a departure is remembered in every order of events.
 
-A planned stop once deleted the record of a departure, and a process that
-started beside a draining server did not keep it. A late heartbeat then
-brought the server back (DRAIN).
+A planned stop once deleted the record of a departure, a process that started
+beside a draining server did not keep it, and a platform that was restored
+from a copy while the node was down had lost it. A late heartbeat, or the
+record of before, then brought the server back (DRAIN).
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from jayflow.connection import announcement
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.process import member_directory
 from jayflow.process import member_writer
 from jayflow.process import own_member
 from jayflow.process import platform_pauses
@@ -35,6 +37,19 @@
     'next server',
 )
 LENGTH = 4
+# The platform comes back from the copy that was taken before the first event.
+RESTORE_EVENTS = (
+    'drain',
+    'deregister',
+    'stop and start',
+    'kill and start',
+    'next server',
+    'restore',
+    'stop, restore and start',
+    'stop, deregister, restore and start',
+    'kill, restore and start',
+)
+RESTORE_LENGTH = 3
 
 
 class Platform(test_departure.FakePlatform):
@@ -54,6 +69,11 @@
         self.instance, self.born, self.sequence = 'i1', 10, 1
         self._keeps_server = keeps_server
         self._incarnation = 0
+        self._is_running = False
+        self._copy = None
+        self.peer = member_directory.MemberDirectory(
+            messages.NodeId('n2'), 'a'
+        )
 
     async def start(self) -> None:
         self._incarnation += 1
@@ -82,16 +102,35 @@
             lambda: False,
             self._keeps_server,
         )
-        self.executor.on_state_change = self.writer.notify
+        self.executor.on_state_change = self._publish
         entry = self.platform.entry
         if entry is not None:
             stored = test_member_directory.members.Member.decode(entry.value)
             self.registration.restore(stored, SERVER)
         self.writer.set_stored(entry)
         self._task = asyncio.create_task(self.writer.run())
+        self._is_running = True
+        self._publish()
         await asyncio.sleep(0.1)
 
+    def _publish(self) -> None:
+        """Write the record; the peer sees it, and reminds as nodes do."""
+        self.writer.notify()
+        member = self.own_member.describe()
+        self.peer.put(member)
+        if self.peer.forgets_departure(member):
+            self.registration.recall_departure(member.server)
+
+    def take_copy(self) -> None:
+        self._copy = self.platform.entry
+
+    def _restore(self) -> None:
+        self.platform.entry = self._copy
+        if self._is_running:
+            self.writer.mark_missing(must_read=True)
+
     async def stop(self) -> None:
+        self._is_running = False
         self.executor.stop_accepting()
         await self.own_member.check_server()
         await self.writer.reconcile()
@@ -131,7 +170,10 @@
                 case 'stop':
                     await self.stop()
                 case 'kill':
-                    pass
+                    self.end()
+                    self._is_running = False
+                case 'restore':
+                    self._restore()
                 case 'start':
                     self.end()
                     await self.start()
@@ -154,7 +196,13 @@
 
 
 class DepartureOrdersTest(virtual_time.VirtualTimeTestCase):
-    def run_events(self, events, keeps_server=True):
+    def check(self, events, keeps_server):
+        with self.subTest(events):
+            machine = self.run_events(events, keeps_server)
+            if 'i1' in machine.left:
+                self.assertNotEqual('i1', machine.used_server)
+
+    def run_events(self, events, keeps_server):
         """Return the machine after the events and a late heartbeat."""
 
         async def serve(reader, writer):
@@ -166,8 +214,11 @@
             machine = Machine(keeps_server)
             await machine.start()
             await machine.announce(1, draining=False)
+            await asyncio.sleep(0.1)
+            machine.take_copy()
             for event in events:
                 await machine.handle(event)
+                await asyncio.sleep(0.1)
                 self.assertNotIn(machine.used_server, machine.left)
             await machine.handle_late()
             await asyncio.sleep(0.1)
@@ -178,17 +229,15 @@
 
     def test_a_late_heartbeat_brought_a_departed_server_back(self):
         for events in itertools.product(EVENTS, repeat=LENGTH):
-            machine = self.run_events(events)
-            if 'i1' in machine.left:
-                with self.subTest(events):
-                    self.assertNotEqual('i1', machine.used_server)
+            self.check(events, keeps_server=True)
+
+    def test_a_restored_platform_brought_a_departed_server_back(self):
+        for events in itertools.product(RESTORE_EVENTS, repeat=RESTORE_LENGTH):
+            self.check(events, keeps_server=True)
 
     def test_a_standalone_node_forgot_a_departure_as_it_stopped(self):
         for events in itertools.product(EVENTS, repeat=2):
-            machine = self.run_events(events, keeps_server=False)
-            if 'i1' in machine.left:
-                with self.subTest(events):
-                    self.assertNotEqual('i1', machine.used_server)
+            self.check(events, keeps_server=False)
 
     def test_a_node_that_stops_after_its_server_leaves_no_record(self):
         async def main(loop):
--- a/tests/process/test_silent_peers.py
+++ b/tests/process/test_silent_peers.py
@@ -1,7 +1,8 @@
-"""Check when the connection to a peer that publishes nothing is reopened.
+"""Check what a subscriber does about a peer that is silent or forgetful.
 
 A peer that had been away for 3 s was once taken for silent as soon as it was
-back: the connection was closed with the first requests in flight.
+back: the connection was closed with the first requests in flight. A peer
+whose record was restored from a copy used a server again that had left.
 """
 
 import math
@@ -38,6 +39,7 @@
         self.is_connected = False
         self.connected_at = -math.inf
         self.disconnect_count = 0
+        self.sent = []
 
     def update(self, is_connected: bool, now: float) -> None:
         if is_connected and not self.is_connected:
@@ -47,7 +49,7 @@
         self.is_connected = is_connected
 
     def send(self, message) -> None:
-        return
+        self.sent.append(message)
 
 
 class FakeConnections:
@@ -113,3 +115,57 @@
                 for at, since in zip(reset_at, expected, strict=True):
                     self.assertGreaterEqual(at - since, EARLIEST_S - STEP_S)
                     self.assertLessEqual(at - since, LATEST_S)
+
+
+LEFT = messages.ServerIncarnation('i1', 10)
+EARLIER = messages.ServerIncarnation('i1', 9)
+# Title, what the peer's record said before and says after its restart, and
+# the departures of which it is reminded.
+REMINDER_CASES = [
+    ('left', {'left': (LEFT,)}, {}, [LEFT]),
+    ('was leaving', {'leaving': (LEFT,)}, {}, [LEFT]),
+    ('was draining', {'draining': True}, {}, [LEFT]),
+    ('known there', {'left': (LEFT,)}, {'draining': True}, []),
+    ('earlier start', {'left': (LEFT,)}, {'born': 9}, [EARLIER]),
+    ('later start', {'left': (LEFT,)}, {'born': 11}, []),
+    ('other server', {'left': (LEFT,)}, {'instance': 'i2'}, []),
+    ('never left', {}, {}, []),
+]
+
+
+class ReminderTest(unittest.TestCase):
+    def test_a_peer_used_a_server_whose_departure_it_had_forgotten(self):
+        for title, before, after, expected in REMINDER_CASES:
+            with self.subTest(title):
+                connections = FakeConnections()
+                directory = member_directory.MemberDirectory(
+                    messages.NodeId('n1'), objects.DataCentreName('a')
+                )
+                subscriptions = state_publishing.PeerSubscriptions(
+                    messages.NodeId('n1'),
+                    'a',
+                    directory,
+                    connections,
+                    lambda: messages.AttemptId(1, 1),
+                    lambda: test_member_directory.member('n1', 'a'),
+                    lambda: 1,
+                )
+                server = {'instance': 'i1', 'born': 10}
+                directory.put(
+                    test_member_directory.member('n2', 'a', **server | before)
+                )
+                member = test_member_directory.member(
+                    'n2', 'a', **server | {'incarnation': 2} | after
+                )
+                load = messages.Load(0, 0, 1, 0.0)
+                subscriptions.handle_state(
+                    messages.NodeState('n2', 2, load, 1, 0.0, member.encode())
+                )
+                reminders = [
+                    messages.decode_request(messages.encode(message)).server
+                    for message in connections.connection.sent
+                    if isinstance(message, messages.ServerLeft)
+                ]
+                self.assertEqual(expected, reminders)
+                is_used = bool(directory.candidates('s'))
+                self.assertEqual(not expected and not member.draining, is_used)
