Bound what is kept of heads and trailers that never end

What callers saw: nothing yet. A server that sends headers without end made the node beside it grow from 36 to 65 MB with eight callers, trailers to 108 MB; a caller that sends a trailer without end filled its node's memory without a bound. A body that became malformed after its head left its request without an answer until the caller closed.

Cause: the bytes of a head were bounded, not the objects made of them; trailers were kept and passed on as headers; of a caller only the head was bounded, and an error in the parser while a request was being read paused the connection for good.

Change: a response has at most 500 headers; trailers are ignored. Bytes of a caller without a byte of body are bounded by the limit of its head. A request whose body can't be read to its end gets 400, and its connection closes.

--- a/jayflow/connection/backend_client.py
+++ b/jayflow/connection/backend_client.py
@@ -23,6 +23,8 @@
 # a head, trailers, interim responses or responses to earlier requests. More
 # are no answer, and keeping them would exhaust the memory.
 MAX_BYTES_WITHOUT_BODY = 256 * 1024
+# Each header takes up to 150 bytes of memory beside its own.
+MAX_HEADERS = 500
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_S = 4.0
 MAX_IDLE_NOT_IDEMPOTENT_S = 1.0
@@ -284,8 +286,12 @@
             self._is_reuse_prevented = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._is_complete:
-            self.headers.append((name.lower(), value.rstrip(b' \t')))
+        if self.status is not None or self._is_skipping_response:
+            # A trailer: its meaning is not that of a header.
+            return
+        if len(self.headers) >= MAX_HEADERS:
+            raise ValueError(f'response has more than {MAX_HEADERS} headers')
+        self.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
         if self._is_complete:
--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -38,13 +38,16 @@
 class DisconnectNotifier:
     """Invoke a callback when the caller's connection is lost.
 
-    This is an ASGI extension. It needs no extra task per request that
-    waits for the disconnection.
+    It also tells of a body that is malformed after its beginning. This is an
+    ASGI extension. It needs no extra task per request that waits for the
+    disconnection.
     """
 
     def __init__(self) -> None:
         self._on_lost: Callable[[], None] | None = None
         self.is_disconnected = False
+        # Whether the rest of the request's body can't be read.
+        self.is_body_malformed = False
 
     def set_callback(self, on_lost: Callable[[], None] | None) -> None:
         """Set the callback; call it at once if the connection is lost."""
@@ -99,6 +102,7 @@
     _limits = objects.Limits()
     _received_head_bytes = 0
     _header_bytes = 0
+    _bytes_without_body = 0
     _is_reading_head = True
     _is_too_large = False
     _head_timer: asyncio.TimerHandle | None = None
@@ -120,7 +124,14 @@
         was_reading_head = self._is_reading_head
         if was_reading_head:
             self._received_head_bytes += len(data)
+        else:
+            self._bytes_without_body += len(data)
         super().data_received(data)
+        if self._bytes_without_body > self._limits.header_bytes:
+            # A trailer, which the parser keeps until its end, or a chunk
+            # header.
+            self._send_error(BadHead.TOO_LARGE)
+            return
         if not self._is_reading_head or not self._received_head_bytes:
             return
         if self._received_head_bytes > self._limits.header_bytes:
@@ -154,9 +165,14 @@
         self._received_head_bytes = 0
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        self._bytes_without_body = 0
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         super().on_message_complete()
         self._is_reading_head = True
+        self._bytes_without_body = 0
 
     def send_400_response(self, msg: str) -> None:
         del msg
@@ -184,9 +200,13 @@
         if self.transport.is_closing():
             return
         if self.cycle is not None and not self.cycle.response_complete:
-            # An earlier request still runs; the connection closes after it.
+            # A request still runs; the connection closes after it.
             self.cycle.keep_alive = False
             self.flow.pause_reading()
+            if self.cycle.more_body:
+                extensions = self.cycle.scope['extensions']
+                extensions[DISCONNECT_EXTENSION].is_body_malformed = True
+                self.cycle.message_event.set()
             return
         status, headers, body = self.on_bad_request(bad_head)
         chunks = [httptools_impl.STATUS_LINE[status]]
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -50,6 +50,10 @@
     """Report a body that exceeds the limit after a part of it was sent."""
 
 
+class MalformedBodyError(Exception):
+    """Report a body that can't be read to its end."""
+
+
 class Ingress:
     """Serve callers as an ASGI application."""
 
@@ -83,13 +87,16 @@
         if scope['type'] != 'http':
             return
         self._metrics.count_event(metrics_module.Event.REQUEST)
-        body = _RequestBody(receive)
+        disconnect = scope['extensions'][http_server.DISCONNECT_EXTENSION]
+        body = _RequestBody(receive, disconnect)
         try:
             await body.read_first()
         except CallerGoneError:
             self._metrics.count_refusal(Reason.BODY_CUT)
             return
-        disconnect = scope['extensions'][http_server.DISCONNECT_EXTENSION]
+        except MalformedBodyError:
+            await self._send_problem(_never_sent(Reason.BAD_REQUEST), send)
+            return
         with anyio.CancelScope() as cancel:
             disconnect.set_callback(cancel.cancel)
             await self._serve_or_report(scope, body, send)
@@ -144,6 +151,8 @@
             return
         except BodyTooLargeError:
             result = outcome.Unknown(Reason.BODY_TOO_LARGE)
+        except MalformedBodyError:
+            result = outcome.Unknown(Reason.BODY_CUT)
         self._record_end(req_or_failure, result)
         if isinstance(result, responses.Response):
             await self._send_response(scope, req_or_failure, result, send)
@@ -360,8 +369,11 @@
 class _RequestBody:
     """Read a request body: a first part, the rest on demand."""
 
-    def __init__(self, receive) -> None:
+    def __init__(
+        self, receive, connection: http_server.DisconnectNotifier
+    ) -> None:
         self._receive = receive
+        self._connection = connection
         self._read_bytes = 0
         self.limit_bytes: int | None = None
         self.first = b''
@@ -387,6 +399,8 @@
         message = await self._receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError
+        if self._connection.is_body_malformed:
+            raise MalformedBodyError
         self._read_bytes += len(message['body'])
         if (
             self.limit_bytes is not None
--- a/tests/connection/test_backend_client.py
+++ b/tests/connection/test_backend_client.py
@@ -24,6 +24,13 @@
     return HEAD_WITH_LENGTH % number + body
 
 
+def head_with(count: int) -> bytes:
+    """Return a head with so many headers beside its two."""
+    return (HEAD_WITH_LENGTH % b'1').replace(
+        b'\r\n\r\n', b'\r\n' + b'a: b\r\n' * count + b'\r\n'
+    )
+
+
 # Title, pieces that the server sends (an empty one sends end of file),
 # whether it then resets the connection, expected body (None for a failure)
 # and whether the connection may be reused.
@@ -72,6 +79,14 @@
         None,
         False,
     ),
+    (
+        'as many headers as a response may have',
+        [head_with(498) + b'ok'],
+        False,
+        b'ok',
+        True,
+    ),
+    ('more headers than that', [head_with(499) + b'ok'], False, None, False),
     (
         'garbage instead of a response',
         [b'\x16\x03garbage\r\n\r\n'],
@@ -146,6 +161,29 @@
                 conn.close()
         await asyncio.sleep(KEEP_OPEN_S)
 
+    async def test_a_trailer_was_passed_on_as_a_header(self):
+        chunked = (
+            b'HTTP/1.1 200 OK\r\nJayflow-Request-Id: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'2\r\nok\r\n0\r\nserver-limit: 1\r\n\r\n'
+        )
+        for title, pieces in (
+            ('in one piece', [chunked]),
+            ('in two', [chunked[:-20], chunked[-20:]]),
+            (
+                'after a late response',
+                [chunked.replace(b'Id: 1', b'Id: 0'), chunked],
+            ),
+        ):
+            with self.subTest(title):
+                port = await self.serve(pieces, False)
+                body, conn = await self.request(port)
+                self.assertEqual(b'ok', body)
+                names = [name for name, _ in conn.headers]
+                self.assertNotIn(b'server-limit', names)
+                conn.close()
+        await asyncio.sleep(2 * KEEP_OPEN_S)
+
     async def test_a_connection_was_used_when_the_server_had_closed_it(self):
         for title, header, expected in KEEP_ALIVE_CASES:
             with self.subTest(title):
--- a/tests/connection/test_caller_limits.py
+++ b/tests/connection/test_caller_limits.py
@@ -88,7 +88,7 @@
                 'more_body': True,
             }
 
-        body = ingress._RequestBody(receive)
+        body = ingress._RequestBody(receive, http_server.DisconnectNotifier())
         await body.read_first()
         body.limit_bytes = ingress.FIRST_BODY_BYTES
         self.assertFalse(body.is_too_large([]))
