Parse pipelined requests a few at a time

What callers saw: nothing yet. A caller that sends small requests without reading the answers made its node parse all that one read of the connection held: 256 KB are some 9,000 requests of 10 KB each.

Cause: the HTTP server queues every request that it parses, and it parses all that it has read.

Change: while 16 requests wait on a connection, the rest stays as bytes and reading is paused; each answer lets 512 bytes more be parsed. Data with fewer requests takes the same path as before.

Evidence: test_endless_callers, case "requests", fails before (13 MB for 1 MB) and passes; test_caller_limits sends 1000, 300 and 40 requests at once, with bodies up to 90 KB, and checks all answers and their order.

--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -13,12 +13,17 @@
 from typing import ClassVar
 
 import uvicorn
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from jayflow.version import objects
 
 BACKLOG = 1024
 DISCONNECT_EXTENSION = 'jayflow.disconnect'
+# Requests that a connection keeps while it serves an earlier one; each takes
+# some 10 KB, whatever its own size.
+MAX_PIPELINED = 16
+PIPELINED_SLICE_BYTES = 512
 
 
 class BadHead(enum.Enum):
@@ -94,6 +99,16 @@
         yield
 
 
+class _FlowControl(flow_control.FlowControl):
+    """Read no more while the protocol holds bytes that are not parsed."""
+
+    is_held = False
+
+    def resume_reading(self) -> None:
+        if not self.is_held:
+            super().resume_reading()
+
+
 class _Protocol(httptools_impl.HttpToolsProtocol):
     """Limit header blocks and idle time, and report lost connections."""
 
@@ -103,12 +118,16 @@
     _received_head_bytes = 0
     _header_bytes = 0
     _bytes_without_body = 0
+    # Received while MAX_PIPELINED requests wait, and how much of it is parsed.
+    _unparsed = b''
+    _parsed_bytes = 0
     _is_reading_head = True
     _is_too_large = False
     _head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
+        self.flow = _FlowControl(transport)
         self._apply_limits()
         self.timeout_keep_alive_task = self.loop.call_later(
             self.timeout_keep_alive, self.timeout_keep_alive_handler
@@ -116,11 +135,43 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
+        self._unparsed = b''
         super().connection_lost(exc)
         if self.scope is not None:
             self.scope['extensions'][DISCONNECT_EXTENSION].notify()
 
     def data_received(self, data: bytes) -> None:
+        if not self._unparsed and data.count(b' HTTP/1.') <= MAX_PIPELINED:
+            self._parse(data)
+            return
+        self._unparsed = self._unparsed[self._parsed_bytes :] + data
+        self._parsed_bytes = 0
+        self._parse_pipelined()
+
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        if self._unparsed:
+            self._parse_pipelined()
+
+    def _parse_pipelined(self) -> None:
+        """Parse what was received, while few requests wait."""
+        while (
+            self._parsed_bytes < len(self._unparsed)
+            and len(self.pipeline) < MAX_PIPELINED
+            and not self.transport.is_closing()
+        ):
+            start = self._parsed_bytes
+            self._parsed_bytes += PIPELINED_SLICE_BYTES
+            self._parse(self._unparsed[start : self._parsed_bytes])
+        self.flow.is_held = self._parsed_bytes < len(self._unparsed)
+        if self.flow.is_held:
+            self.flow.pause_reading()
+        else:
+            self._unparsed = b''
+            if not self.pipeline:
+                self.flow.resume_reading()
+
+    def _parse(self, data: bytes) -> None:
         was_reading_head = self._is_reading_head
         if was_reading_head:
             self._received_head_bytes += len(data)
--- a/tests/connection/test_caller_limits.py
+++ b/tests/connection/test_caller_limits.py
@@ -150,3 +150,52 @@
         server.should_exit = True
         await serving
         return response
+
+
+class PipelinedRequestsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_pipelined_requests_are_answered_in_order(self):
+        async def app(scope, receive, send):
+            body, more = b'', True
+            while more:
+                message = await receive()
+                body += message['body']
+                more = message['more_body']
+            answer = scope['raw_path'] + b' %d' % len(body)
+            await asyncio.sleep(0)
+            length = str(len(answer)).encode()
+            await send(
+                {
+                    'type': 'http.response.start',
+                    'status': 200,
+                    'headers': [(b'content-length', length)],
+                }
+            )
+            await send({'type': 'http.response.body', 'body': answer})
+
+        port = local_cluster.reserve_ports(1)[0]
+        server = http_server.create(app, local_cluster.HOST, port)
+        task = asyncio.create_task(server.serve())
+        self.addCleanup(task.cancel)
+        while not server.started:
+            await asyncio.sleep(0.01)
+        for count, body_bytes in ((1000, 0), (300, 700), (40, 90_000)):
+            with self.subTest(count=count, body_bytes=body_bytes):
+                reader, writer = await asyncio.open_connection(
+                    local_cluster.HOST, port
+                )
+                for number in range(count):
+                    writer.write(
+                        b'POST /%d HTTP/1.1\r\nhost: x\r\n'
+                        b'content-length: %d\r\n\r\n'
+                        % (number, body_bytes)
+                        + b'b' * body_bytes
+                    )
+                async with asyncio.timeout(20):
+                    for number in range(count):
+                        head = await reader.readuntil(b'\r\n\r\n')
+                        length = int(head.split(b': ')[1].split(b'\r')[0])
+                        self.assertEqual(
+                            b'/%d %d' % (number, body_bytes),
+                            await reader.readexactly(length),
+                        )
+                writer.close()
--- a/tests/connection/test_endless_callers.py
+++ b/tests/connection/test_endless_callers.py
@@ -1,7 +1,8 @@
 """Send bytes without end in place of a request.
 
-A trailer that never ended was kept in memory until the caller closed, and a
-body that became malformed after its head left the request without an answer.
+A trailer that never ended was kept in memory until the caller closed, a body
+that became malformed after its head left the request without an answer, and
+pipelined requests were all parsed at once, at 10 KB each.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 # What a connection may keep of them: a few reads of the transport, which are
 # 256 KB at most.
 MAX_KEPT_BYTES = 4 * 256 * 1024
+REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 CHUNKED = b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
 LAST_CHUNK = CHUNKED + b'2\r\nok\r\n0\r\n'
 # Title, first bytes, the bytes that follow without end, and the status of the
@@ -34,6 +36,8 @@
     ('chunk extension', CHUNKED + b'2;', BLOCK, 400),
     ('chunk size', CHUNKED, b'0' * 8192, 400),
     ('malformed chunk', CHUNKED + b'2\r\nok', BLOCK, 400),
+    # Answered once a node that has no version has waited for one.
+    ('requests', b'', REQUEST * 300, 503),
 ]
 
 
@@ -48,6 +52,11 @@
         self.addCleanup(task.cancel)
         while not server.started:
             await asyncio.sleep(0.01)
+        # The first request imports modules.
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(REQUEST)
+        await reader.readline()
+        writer.close()
 
     async def send(self, first, rest):
         """Send bytes until the connection closes; return the answer's status.
