Bound the numbers that are read from the platform

What callers saw: nothing yet.

Cause: a revision beyond 64 bits was accepted; the next write that named it raised an OverflowError in the member writer. An ETag that is no number raised a ValueError in the watcher. A version number beyond 63 bits was applied and could not be published to peers.

Change: revisions and version numbers are checked where they are decoded; a response with an odd one counts as malformed, an object with one is left out.

--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -175,6 +175,7 @@
 
 
 # A page of a list holds about as much as one value.
+MAX_REVISION_DIGITS = 18
 MAX_RESPONSE_BYTES = 8 * MAX_VALUE_BYTES
 
 
@@ -390,8 +391,13 @@
 
 def _revision(headers) -> Revision:
     for name, value in headers:
-        if name.lower() == b'etag':
-            return Revision(int(value.strip(b'"')))
+        digits = value.strip(b'"')
+        if (
+            name.lower() == b'etag'
+            and digits.isdigit()
+            and len(digits) <= MAX_REVISION_DIGITS
+        ):
+            return Revision(int(digits))
     raise UnavailableError('response has no ETag header with a revision')
 
 
--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from jayflow.connection import codec
+from jayflow.connection import messages
 from jayflow.platform import protocol
 from jayflow.process import settings
 from jayflow.version import objects
@@ -102,6 +103,8 @@
     def decode(data: bytes) -> snapshot.Version:
         config = codec.decode_json(data, _Config)
         number = snapshot.VersionNumber(int(config.version.removeprefix('r')))
+        if not messages.is_sendable(number):
+            raise ValueError(f'version {config.version} is out of range')
         routes = config.routes.records(_Route)
         services = config.services.records(_Service)
         retry_share = (
--- a/jayflow/platform/metadata_store.py
+++ b/jayflow/platform/metadata_store.py
@@ -5,13 +5,14 @@
 member to the object of that node.
 """
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 import urllib.parse
 
 import msgspec
 
 from jayflow.connection import codec
 from jayflow.connection import member as members
+from jayflow.connection import messages
 from jayflow.connection import platform as api
 from jayflow import logs
 from jayflow import metrics as metrics_module
@@ -27,12 +28,13 @@
 MAX_ERA_DIGITS = 18
 
 Document = TypeVar('Document')
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_NUMBER)]
 _log = logs.get_logger(logs.Component.PLATFORM)
 
 
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Revision
 
 
 class _Object(msgspec.Struct):
@@ -44,7 +46,7 @@
     # Each is decoded by itself, as another writer may have left an odd one.
     items: list[msgspec.Raw]
     # The revision of the whole store, not of one object.
-    store_revision: int
+    store_revision: _Revision
     has_more: bool = False
 
 
@@ -55,7 +57,7 @@
 
 class _Events(msgspec.Struct):
     events: list[msgspec.Raw]
-    store_revision: int
+    store_revision: _Revision
 
 
 class MetadataStoreClient:
