Stop the head timer while pipelined bytes are held

What callers would see: a caller that sends more than 16 requests at once, of which the first take longer than the time allowed for a head, could have its connection closed before the later ones were answered.

Change: the timer is stopped while bytes are held and starts again with the next slice.

--- a/jayflow/connection/http_server.py
+++ b/jayflow/connection/http_server.py
@@ -166,6 +166,8 @@
         self.flow.is_held = self._parsed_bytes < len(self._unparsed)
         if self.flow.is_held:
             self.flow.pause_reading()
+            # The rest of a head may be among what is held.
+            self._stop_head_timer()
         else:
             self._unparsed = b''
             if not self.pipeline:
--- a/jayflow/connection/member.py
+++ b/jayflow/connection/member.py
@@ -39,9 +39,9 @@
     `has_seat` is whether the node holds a seat of each link of its region.
     `left` lists the backend servers that left last, and `leaving` those that
     said that they would, so that the node also rejects their late
-    announcements after its own restart. `quarantined`
-    lists the requests whose last crash was one of its own server, so that
-    nodes which restart refuse them as well.
+    announcements after its own restart. `quarantined` lists the requests
+    whose last crash was one of its own server, so that nodes which restart
+    refuse them as well.
     """
 
     node: messages.NodeId
--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -174,8 +174,8 @@
         return True
 
 
-# A page of a list holds about as much as one value.
 MAX_REVISION_DIGITS = 18
+# A page of a list holds about as much as one value.
 MAX_RESPONSE_BYTES = 8 * MAX_VALUE_BYTES
 
 
