Route requests by their team's key and within the allowed regions

Cause: keys of teams were passed on to backend servers, teams' names were never set, and regions of routes were ignored.

Change: a version holds teams. A team's priority replaces that of the route, and servers outside the regions that route and team allow are left out. Nothing changes for a configuration without teams and regions.

--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -15,6 +15,7 @@
 from jayflow.connection import messages
 from jayflow.platform import protocol
 from jayflow.process import settings
+from jayflow.request.decisions import credentials
 from jayflow.version import objects
 from jayflow.version import snapshot
 
@@ -69,12 +70,25 @@
     priority: int = 0
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     traffic_split: list[_WeightedService] = []
+    public: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Service(msgspec.Struct):
     name: str
     health_check_path: str = '/'
     max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct):
@@ -90,6 +104,7 @@
     routes: _Table
     services: _Table
     limits: _Limits | None = None
+    tenants: _Table | None = None
 
 
 def create_version_decoder(
@@ -107,6 +122,7 @@
             raise ValueError(f'version {config.version} is out of range')
         routes = config.routes.records(_Route)
         services = config.services.records(_Service)
+        tenants = config.tenants.records(_Tenant) if config.tenants else []
         retry_share = (
             objects.DEFAULT_RETRY_SHARE
             if cfg.retry_share is None
@@ -131,10 +147,13 @@
                         objects.PolicyName(''),
                         service.health_check_path,
                         service.max_connections,
+                        service.cold_start_s,
+                        service.cold_per_s,
                     )
                     for service in services
                 },
                 route={route.name: _route(route) for route in routes},
+                team={tenant.name: _team(tenant) for tenant in tenants},
                 limits=_limits(config.limits),
                 # The platform bills traffic between regions by volume and
                 # sets no budget.
@@ -168,6 +187,21 @@
         key=objects.IdempotencyKeyMode.IGNORED,
         split=split,
         policy=objects.PolicyName(route.name),
+        public=route.public,
+        regions=tuple(route.allowed_regions),
+    )
+
+
+def _team(tenant: _Tenant) -> objects.Team:
+    return objects.Team(
+        name=objects.TeamName(tenant.name),
+        key_digests=tuple(
+            credentials.digest_of(key.encode()) for key in tenant.api_keys
+        ),
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        priority=tenant.priority,
+        regions=tuple(tenant.allowed_regions),
     )
 
 
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -12,6 +12,8 @@
 SERVER_LIMIT = b'server-limit'
 SERVER_LEAVING = b'server-leaving'
 CALLER_SERVICE = b'jayflow-caller-service'
+CREDENTIAL = b'jayflow-credential'
+TENANT = b'jayflow-tenant'
 CONTENT_ENCODING = b'content-encoding'
 
 STORE_ERA = b'store-era'
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -27,6 +27,8 @@
 SUBSET_REFRESH_S = 1.0
 # How long a member that fell silent is left out of the subsets.
 SILENT_EXCLUSION_S = 30.0
+# The subsets of a service differ by the regions that requests may run in.
+_SubsetKey = tuple[objects.ServiceName, frozenset[objects.RegionName] | None]
 # Leaving servers that are remembered; beyond it, the oldest is forgotten.
 MAX_LEAVING_SERVERS = 1000
 
@@ -48,7 +50,7 @@
         self._by_service: dict[
             objects.ServiceName, list[routing.PeerView]
         ] = {}
-        self._subsets: dict[objects.ServiceName, list[routing.PeerView]] = {}
+        self._subsets: dict[_SubsetKey, list[routing.PeerView]] = {}
         self._platform_sources: list[routing.PeerView] = []
         self._refreshed_at = -math.inf
         self._excluded_until: dict[messages.NodeId, float] = {}
@@ -83,14 +85,17 @@
         return len(self._views) <= subset.FULL_MESH_MAX_NODES
 
     def candidates(
-        self, service: objects.ServiceName
+        self,
+        service: objects.ServiceName,
+        allowed_regions: frozenset[objects.RegionName] | None = None,
     ) -> list[routing.PeerView]:
         """Return the peer views of the members that this node may send to."""
         if self.is_full_mesh:
             return self.peer_views_of(service)
-        chosen = self._subsets.get(service)
+        key = service, allowed_regions
+        chosen = self._subsets.get(key)
         if chosen is None:
-            chosen = self._subsets[service] = self._choose_subset(service)
+            chosen = self._subsets[key] = self._choose_subset(key)
         return chosen or self.peer_views_of(service)
 
     def peers_to_subscribe(self, now: float) -> list[routing.PeerView]:
@@ -106,8 +111,7 @@
             self._refreshed_at = now
             self._exclude_silent(now)
             self._subsets = {
-                service: self._choose_subset(service)
-                for service in self._subsets
+                key: self._choose_subset(key) for key in self._subsets
             }
             available = self._not_excluded(self._views.values())
             self._platform_sources = subset.platform_sources(
@@ -119,10 +123,13 @@
         ]
         return list({view.member.node: view for view in chosen}.values())
 
-    def _choose_subset(
-        self, service: objects.ServiceName
-    ) -> list[routing.PeerView]:
-        available = self._not_excluded(self.peer_views_of(service))
+    def _choose_subset(self, key: _SubsetKey) -> list[routing.PeerView]:
+        service, allowed_regions = key
+        available = [
+            view
+            for view in self._not_excluded(self.peer_views_of(service))
+            if allowed_regions is None or view.region in allowed_regions
+        ]
         return subset.service_subset(self.node, available)
 
     def _exclude_silent(self, now: float) -> None:
@@ -162,10 +169,12 @@
             self.distance_to(member.data_centre),
             requires_seat=self._objects.limits_links,
             known_since=time.monotonic(),
+            region=self._objects.region_of(member.data_centre),
         )
         if previous and previous.member.incarnation == member.incarnation:
             previous.member = member
             previous.distance = view.distance
+            previous.region = view.region
             previous.load = None
             view = previous
         if member.node == self.node:
@@ -251,6 +260,7 @@
         self._objects = config
         for view in self._views.values():
             view.distance = self.distance_to(view.member.data_centre)
+            view.region = config.region_of(view.member.data_centre)
             view.requires_seat = config.limits_links
 
     def _drop_from_services(self, node: messages.NodeId) -> None:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -586,10 +586,12 @@
         )
 
     def _candidates(
-        self, service: objects.ServiceName
+        self,
+        service: objects.ServiceName,
+        allowed_regions: dispatch.AllowedRegions,
     ) -> list[routing.PeerView]:
         """Return the peers for a service; the load of the own one is exact."""
-        views = self._directory.candidates(service)
+        views = self._directory.candidates(service, allowed_regions)
         for view in views:
             if view.member.node == self._cfg.name:
                 view.record_load(self._executor.load(), time.monotonic())
--- a/jayflow/request/caller_request.py
+++ b/jayflow/request/caller_request.py
@@ -14,6 +14,7 @@
 from jayflow.version import objects
 
 ReadBody = Callable[[], Awaitable[tuple[bytes, bool]]]
+NO_TEAM = objects.TeamName('')
 
 
 @dataclasses.dataclass
@@ -22,7 +23,8 @@
 
     The body is the first part; if more follow, read_body returns the next
     part and whether more follow. deadline and arrived_at are monotonic
-    seconds. An idempotent request may be retried and hedged.
+    seconds. An idempotent request may be retried and hedged. Only servers in
+    the allowed regions may run it; None allows all regions.
     """
 
     service: objects.ServiceName
@@ -38,6 +40,9 @@
     fingerprint: quarantine.Fingerprint
     arrived_at: float = dataclasses.field(default_factory=time.monotonic)
     id: str = ''
+    # Empty if the request has no team.
+    team: objects.TeamName = NO_TEAM
+    allowed_regions: frozenset[objects.RegionName] | None = None
     version: int = 0
     uses_idempotency_key: bool = False
     is_suspect: bool = False
--- a/jayflow/request/decisions/routing.py
+++ b/jayflow/request/decisions/routing.py
@@ -15,6 +15,7 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow.request.decisions import slowdowns as slowdown_trackers
+from jayflow.version import objects
 
 # A load report has full weight for this long, then its weight decays
 # exponentially with the time constant below.
@@ -103,6 +104,7 @@
     platform_heard_at: float = -math.inf
     requires_seat: bool = True
     known_since: float = -math.inf
+    region: objects.RegionName | None = None
     slowdowns: slowdown_trackers.SlowdownTracker = dataclasses.field(
         default_factory=slowdown_trackers.SlowdownTracker
     )
@@ -260,11 +262,13 @@
     rng: random.Random,
     cross_region: bool,
     work: Work = UNKNOWN_WORK,
+    allowed_regions: frozenset[objects.RegionName] | None = None,
 ) -> PeerView | None:
     """Return the peer to try next, or None when there is none.
 
     Peers in cooldown are left out, but never more than MAX_COOLDOWN_SHARE
     of all.
+    Peers outside the allowed regions are never used; None allows all.
     Peers in other regions are used where their cost is lower, if the policy
     allows it and they may respond over the link between the regions. Of
     peers whose costs are equal, the nearest are used.
@@ -273,6 +277,7 @@
         view
         for view in views
         if not _is_draining(view, now)
+        and (allowed_regions is None or view.region in allowed_regions)
         and (
             view.distance is not Distance.OTHER_REGION
             or _may_cross_regions(view, cross_region)
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -37,6 +37,7 @@
 MAX_NODES_TRIED = 4
 # Responses up to this size are fully buffered; larger ones are streamed.
 MAX_BUFFERED_BYTES = 256 * 1024
+AllowedRegions = frozenset[objects.RegionName] | None
 RetryBudgetFactory = Callable[[float], retry.RetryBudget]
 
 
@@ -60,7 +61,9 @@
     def __init__(
         self,
         open_exchanges: exchanges.ExchangeTable,
-        peer_views_of: Callable[[objects.ServiceName], list[routing.PeerView]],
+        peer_views_of: Callable[
+            [objects.ServiceName, AllowedRegions], list[routing.PeerView]
+        ],
         channel_to: Callable[
             [routing.PeerView, messages.Lane], exchanges.PeerChannel
         ],
@@ -301,12 +304,13 @@
         self, req: caller_request.Request, tried: list[messages.NodeId]
     ) -> routing.PeerView | None:
         return routing.choose_peer(
-            self._peer_views_of(req.service),
+            self._peer_views_of(req.service, req.allowed_regions),
             tried,
             time.monotonic(),
             self._rng,
             req.policy.cross_region,
             self._estimates.expected_work(req.policy),
+            req.allowed_regions,
         )
 
     def _retry_reason(
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -58,6 +58,9 @@
     request_id: bytes | None = None
     expected_instance: bytes | None = None
     caller_service: bytes | None = None
+    # A caller's key, and the name of its team that backend servers get.
+    credential: bytes | None = None
+    team: bytes | None = None
     allows_unframed_responses: bool = False
     allows_fractional_retry_after: bool = False
     # Statuses of failures that a retry on another server may avoid.
@@ -86,6 +89,19 @@
             rewritten.append((self.caller_service, caller.encode()))
         return rewritten
 
+    def team_headers(
+        self, headers: messages.Headers, team: str
+    ) -> messages.Headers:
+        """Return headers without a key, and with the team if there is one."""
+        rewritten = [
+            row
+            for row in headers
+            if row[0] not in (self.credential, self.team)
+        ]
+        if team and self.team is not None:
+            rewritten.append((self.team, team.encode()))
+        return rewritten
+
     def server_headers(self, instance: str) -> messages.Headers:
         """Return the headers that the instance's own node adds."""
         if self.expected_instance is None:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -12,12 +12,14 @@
 import time
 
 import anyio
+import msgspec
 
 from jayflow.connection import http_server
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.request import caller_request
+from jayflow.request.decisions import credentials
 from jayflow.request.decisions import quarantine
 from jayflow.request.decisions import splitting
 from jayflow.request import dispatch
@@ -70,6 +72,8 @@
         self.planned_stop: planned_stop.PlannedStop | None = None
         self._dialect = dialect
         self._caller_service = caller
+        self._key_ring = credentials.KeyRing({})
+        self._key_ring_version = snapshot.NO_VERSION
         self._splitter = splitting.TrafficSplitter(rng or random.Random())
         self._dispatcher = dispatcher
         self._idempotent_runner = idempotent_runner
@@ -239,8 +243,13 @@
         )
         if route is None:
             return _never_sent(Reason.NO_ROUTE)
+        team = self._team_of(version, route, headers)
+        if isinstance(team, outcome.NotRun):
+            return team
         service = self._splitter.choose_service(route)
         policy = version.objects.route_policy(route)
+        if team is not None and team.priority is not None:
+            policy = msgspec.structs.replace(policy, priority=team.priority)
         try:
             key = http_headers.idempotency_key(headers)
             remaining_s = http_headers.remaining_s(headers, policy.deadline)
@@ -252,6 +261,10 @@
         if scope['query_string']:
             target += b'?' + scope['query_string']
         headers = self._dialect.caller_headers(headers, self._caller_service())
+        if version.objects.team:
+            headers = self._dialect.team_headers(
+                headers, team.name if team else ''
+            )
         req = caller_request.Request(
             service=service,
             policy=policy,
@@ -265,6 +278,8 @@
             is_idempotent=_is_idempotent(route, scope['method']),
             id=_text(self._dialect.request_id_of(headers)),
             version=version.number,
+            team=team.name if team else caller_request.NO_TEAM,
+            allowed_regions=credentials.allowed_regions(route, team),
             uses_idempotency_key=key is not None
             and route.key is not KeyMode.IGNORED,
             fingerprint=quarantine.fingerprint(
@@ -273,6 +288,33 @@
         )
         return req if self._accepts(req) else _never_sent(Reason.NODE_STOPPING)
 
+    def _team_of(
+        self,
+        version: snapshot.Version,
+        route: objects.Route,
+        headers: messages.Headers,
+    ) -> objects.Team | outcome.NotRun | None:
+        """Return the team whose key a request has, or why it is refused.
+
+        None stands for a request that needs no key.
+        """
+        if not version.objects.team or route.public:
+            return None
+        name = self._dialect.credential
+        key = http_headers.value_of(headers, name) if name else None
+        if key is None:
+            return _never_sent(Reason.NO_TEAM)
+        if not credentials.is_well_formed(
+            key
+        ) or not http_headers.has_no_duplicates(headers, (name,)):
+            return _never_sent(Reason.BAD_REQUEST)
+        if self._key_ring_version != version.number:
+            self._key_ring = credentials.KeyRing.from_teams(
+                version.objects.team.values()
+            )
+            self._key_ring_version = version.number
+        return self._key_ring.team_of(key) or _never_sent(Reason.NO_TEAM)
+
     def _accepts(self, req: caller_request.Request) -> bool:
         return self.planned_stop is None or self.planned_stop.accepts(
             time.monotonic(), req.deadline, req.lane is messages.Lane.BULK
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -33,6 +33,7 @@
     HEADERS_TIMED_OUT = 'headers_timed_out'
     BODY_CUT = 'body_cut'
     NO_ROUTE = 'no_route'
+    NO_TEAM = 'no_team'
     NO_CONFIGURATION = 'no_configuration'
     NO_MEMBER = 'no_member'
     BODY_TOO_LARGE = 'body_too_large'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -19,6 +19,7 @@
     Reason.BAD_REQUEST: 400,
     Reason.BODY_CUT: 400,
     Reason.KEY_REQUIRED: 400,
+    Reason.NO_TEAM: 401,
     Reason.NO_ROUTE: 404,
     Reason.HEADERS_TIMED_OUT: 408,
     Reason.KEY_IN_USE: 409,
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -16,6 +16,9 @@
 DataCentreName = NewType('DataCentreName', str)
 RegionName = NewType('RegionName', str)
 PolicyName = NewType('PolicyName', str)
+TeamName = NewType('TeamName', str)
+# SHA-256 of a team's key, in hexadecimal.
+KeyDigest = NewType('KeyDigest', str)
 
 DEFAULT_DEADLINE_S = 2.0
 DEFAULT_TRIES = 3
@@ -200,17 +203,25 @@
 
 
 class Service(_Object, frozen=True):
-    """Describe a service that backend servers announce."""
+    """Describe a service that backend servers announce.
+
+    For cold_start seconds after it has started, a server takes cold_rate
+    requests per second from all nodes together; a rate of 0 means no limit.
+    """
 
     name: ServiceName
     policy: PolicyName
     health_path: str = ''
     connections: int = 0
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field('policy', value_parsers.object_name, required=True),
         Field('health-path', value_parsers.path, ''),
         Field('connections', value_parsers.non_negative_int, 0),
+        Field('cold-start', value_parsers.non_negative_seconds, 0.0),
+        Field('cold-rate', value_parsers.non_negative_number, 0.0),
     )
 
 
@@ -239,7 +250,9 @@
     """Map a caller's host name and path prefix to a service.
 
     A split divides the requests among several services by weight. The
-    service's policy applies unless the route names one.
+    service's policy applies unless the route names one. If the version has
+    teams, a request needs a team's key unless the route is public. Servers in
+    other regions than those named are not used.
     """
 
     name: str
@@ -250,6 +263,8 @@
     key: IdempotencyKeyMode = IdempotencyKeyMode.ACCEPTED
     split: tuple[WeightedService, ...] = ()
     policy: PolicyName = PolicyName('')
+    public: bool = False
+    regions: tuple[RegionName, ...] = ()
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field('host', value_parsers.object_name, '', required=True),
@@ -267,6 +282,31 @@
         ),
         Field('split', _parse_split, ()),
         Field('policy', value_parsers.object_name, ''),
+        Field('public', value_parsers.yes_or_no, False),
+        Field('regions', value_parsers.object_names, ()),
+    )
+
+
+class Team(_Object, frozen=True):
+    """Describe a group of callers who share keys and a limit.
+
+    The rate is in requests per second over all nodes, 0 for no limit; a
+    burst adds to it. A priority replaces that of the route's policy.
+    """
+
+    name: TeamName
+    key_digests: tuple[KeyDigest, ...] = ()
+    rate: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+    regions: tuple[RegionName, ...] = ()
+
+    FIELDS: ClassVar[tuple[Field, ...]] = (
+        Field('key-digests', value_parsers.digests, (), required=True),
+        Field('rate', value_parsers.non_negative_number, 0.0),
+        Field('burst', value_parsers.non_negative_number, 0.0),
+        Field('priority', value_parsers.non_negative_int),
+        Field('regions', value_parsers.object_names, ()),
     )
 
 
@@ -292,6 +332,7 @@
     policy: dict[PolicyName, Policy] = {}
     service: dict[ServiceName, Service] = {}
     route: dict[str, Route] = {}
+    team: dict[TeamName, Team] = {}
     limits: Limits = Limits()
     limits_links: bool = True
 
@@ -337,6 +378,7 @@
     'policy': Policy,
     'service': Service,
     'route': Route,
+    'team': Team,
 }
 
 
--- a/jayflow/version/validation.py
+++ b/jayflow/version/validation.py
@@ -83,6 +83,16 @@
             sections_by_object,
             findings,
         )
+    for kind in ('route', 'team'):
+        for obj in getattr(all_objects, kind).values():
+            _check_reference(
+                kind,
+                obj,
+                'regions',
+                all_objects.region,
+                sections_by_object,
+                findings,
+            )
     for route in all_objects.route.values():
         _check_route(route, all_objects, sections_by_object, findings)
 
@@ -137,6 +147,7 @@
         ),
         findings,
     )
+    _check_unique_keys(all_objects, sections_by_object, findings)
     _check_unique(
         all_objects.route.values(),
         lambda route: (route.host, route.path),
@@ -155,6 +166,20 @@
             findings.add(location_of(item), f'duplicates {first.name!r}')
 
 
+def _check_unique_keys(all_objects, sections_by_object, findings) -> None:
+    team_by_digest: dict = {}
+    for team in all_objects.team.values():
+        for digest in team.key_digests:
+            first = team_by_digest.setdefault(digest, team)
+            if first is not team:
+                location = sections_by_object['team', team.name].location_of(
+                    'key-digests'
+                )
+                findings.add(
+                    location, f'shares a key with team {first.name!r}'
+                )
+
+
 def _check_link(link, section, findings) -> None:
     if len(set(link.regions)) != 2:
         location = section.location_of('regions')
--- a/jayflow/version/value_parsers.py
+++ b/jayflow/version/value_parsers.py
@@ -29,6 +29,7 @@
     'MB/s': 1000**2,
 }
 _NAME = re.compile(r'^[a-z0-9]([a-z0-9_.-]*[a-z0-9])?$')
+_DIGEST = re.compile(r'^[0-9a-f]{64}$')
 MAX_PORT = 65535
 
 EnumMember = TypeVar('EnumMember', bound=enum.Enum)
@@ -125,6 +126,14 @@
     return tuple(object_name(part.strip()) for part in text.split(','))
 
 
+def digests(text: str) -> tuple[str, ...]:
+    """Return SHA-256 digests in hexadecimal, separated by commas."""
+    parts = tuple(part.strip().lower() for part in text.split(','))
+    if not all(map(_DIGEST.match, parts)):
+        raise ValueError('expected SHA-256 digests of 64 hexadecimal digits')
+    return parts
+
+
 def non_empty(text: str) -> str:
     """Return the text unless it is empty."""
     if not text:
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -98,7 +98,7 @@
         self.views = views
         return dispatch.Dispatcher(
             self.exchanges,
-            lambda service: views,
+            lambda service, regions: views,
             lambda view, lane: self.receivers[views.index(view)],
             metrics_module.Metrics(),
             random.Random(1),
--- a/tests/request/test_frames.py
+++ b/tests/request/test_frames.py
@@ -152,7 +152,7 @@
             )
         dispatcher = dispatch.Dispatcher(
             open_exchanges,
-            lambda service: views,
+            lambda service, regions: views,
             lambda view, lane: channels[view.member.node],
             metrics_module.Metrics(),
             rng,
--- a/tests/request/test_silent_responses.py
+++ b/tests/request/test_silent_responses.py
@@ -142,7 +142,7 @@
             view.record_load(messages.Load(0, 0, 4, 0.0), loop.time())
             dispatcher = dispatch.Dispatcher(
                 table,
-                lambda service: [view],
+                lambda service, regions: [view],
                 lambda view, lane: channel,
                 metrics_module.Metrics(),
                 random.Random(1),
