Send fewer reports to other regions

What operators see: bytes between regions are the largest price of both new deployments.

Change: a state goes to another region every 1.5 s instead of every second, and a node that is subscribed to servers of other regions anyway needs no further sources there.

--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -114,8 +114,13 @@
                 key: self._choose_subset(key) for key in self._subsets
             }
             available = self._not_excluded(self._views.values())
+            subscribed_remote = {
+                view.member.node
+                for view in itertools.chain(*self._subsets.values())
+                if view.distance is routing.Distance.OTHER_REGION
+            }
             self._platform_sources = subset.platform_sources(
-                self.node, available
+                self.node, available, len(subscribed_remote)
             )
         chosen = [
             *self._platform_sources,
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -30,7 +30,7 @@
 PUBLISH_INTERVAL_S = 0.1
 # Servers in other regions are chosen seldom, and the link to them is billed by
 # volume.
-OTHER_REGION_PUBLISH_INTERVAL_S = 1.0
+OTHER_REGION_PUBLISH_INTERVAL_S = 1.5
 # Reports while a server runs one request: to its own data centre, where most
 # of its requests come from, and to the rest of the region.
 REPORTS_PER_REQUEST = {
@@ -93,11 +93,16 @@
         regions, so does a change of slowness.
         """
         age_s = now - self.sent_at
-        if self.last_report is None or age_s >= UNCHANGED_PUBLISH_INTERVAL_S:
+        is_remote = self.distance is routing.Distance.OTHER_REGION
+        unchanged_pause_s = (
+            OTHER_REGION_PUBLISH_INTERVAL_S
+            if is_remote
+            else UNCHANGED_PUBLISH_INTERVAL_S
+        )
+        if self.last_report is None or age_s >= unchanged_pause_s:
             return True
         if report.is_urgent_after(self.last_report):
             return True
-        is_remote = self.distance is routing.Distance.OTHER_REGION
         if not is_remote and report.has_other_slowness(self.last_report):
             return True
         return report != self.last_report and age_s >= pause_s
--- a/jayflow/process/subset.py
+++ b/jayflow/process/subset.py
@@ -61,14 +61,21 @@
 
 
 def platform_sources(
-    node: messages.NodeId, views: Iterable[routing.PeerView]
+    node: messages.NodeId,
+    views: Iterable[routing.PeerView],
+    subscribed_remote: int = 0,
 ) -> list[routing.PeerView]:
-    """Return the peers that inform a node of the platform's objects."""
+    """Return the peers that inform a node of the platform's objects.
+
+    A node that is subscribed to members of other regions already needs fewer
+    of those.
+    """
     near, region, remote = _split_by_distance(node, views)
     same_region = sorted(
         near + region, key=lambda view: rendezvous_hash(view.member.node)
     )
-    return same_region[:SAME_REGION_SOURCES] + remote[:OTHER_REGION_SOURCES]
+    remote_count = max(0, OTHER_REGION_SOURCES - subscribed_remote)
+    return same_region[:SAME_REGION_SOURCES] + remote[:remote_count]
 
 
 def _split_by_distance(
