List the members of a running fleet once at the start

What operators see: 502 calls of the store for the start of 59 nodes.

Cause: nodes that listed while they seemed to be elected listed once more 3 s later, since only lists of nodes that are not elected set the next interval; all nodes of a fleet that starts watched, because none had heard of others when the watches began; and each node that restarts listed twice, although it had heard from all its peers.

The new cases of test_platform_watcher failed before.

--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -18,6 +18,9 @@
 # A quarter of the time within which a member whose record has lapsed must be
 # listed again.
 MEMBER_BATCH_DELAY_S = 0.5
+# Nodes that start together list each other FIRST_RELIST_DELAY_S after their
+# start and have heard from each other a second later.
+MEMBER_WATCH_DELAY_S = platform_watchers.FIRST_RELIST_DELAY_S + 1.0
 
 METADATA_STORE = environment.Environment(
     dialect=headers.DIALECT,
@@ -34,7 +37,7 @@
         environment.WatchedPrefix(
             members.KEY_PREFIX,
             batch_delay_s=MEMBER_BATCH_DELAY_S,
-            watch_delay_s=platform_watchers.FIRST_RELIST_DELAY_S,
+            watch_delay_s=MEMBER_WATCH_DELAY_S,
         ),
     ),
     elects_watchers=True,
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -128,6 +128,18 @@
         ]
         return list({view.member.node: view for view in chosen}.values())
 
+    def hears_all_peers(self, now: float) -> bool:
+        """Return whether enough peers are known and all send their state."""
+        peers = [
+            view
+            for view in self.peers_to_subscribe(now)
+            if view.member.node != self.node
+        ]
+        return len(peers) >= subset.SAME_REGION_SOURCES and all(
+            now - view.last_heard_at <= routing.SILENCE_TIMEOUT_S
+            for view in peers
+        )
+
     def _choose_subset(self, key: _SubsetKey) -> list[routing.PeerView]:
         service, allowed_regions = key
         available = [
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -396,6 +396,7 @@
         )
         if members.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_listed = self._restore_record
+            platform_watcher.is_informed = self._directory.hears_all_peers
         platform_watcher.on_member_missing = self._on_member_missing
         platform_watcher.on_restored = self._on_platform_restored
         platform_watcher.on_member_update = self._broadcast_member_update
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -81,6 +81,10 @@
         self.on_listed: Callable[[list[api.Entry]], None] = lambda entries: (
             None
         )
+        # Whether all peers report their state and the changes of others, so
+        # that a node that joined a running fleet needs no second list soon.
+        self._may_postpone_list = True
+        self.is_informed: Callable[[float], bool] = lambda now: False
         self._call_scope: anyio.CancelScope | None = None
         self._listed_at = -math.inf
         self._first_listed_at = math.inf
@@ -161,14 +165,19 @@
         may_watch = now - self._first_listed_at >= self._watch_delay_s
         if may_watch and self.is_watcher(now):
             return True
-        if now - self._listed_at > self._relist_after_s:
-            for_members_s = RELIST_S_PER_MEMBER * len(
-                self._directory.peer_views()
-            )
-            interval_s = RELIST_INTERVAL_S + for_members_s
-            self._relist_after_s = self._rng.uniform(0.5, 1.0) * interval_s
-            return True
-        return False
+        if now - self._listed_at <= self._relist_after_s:
+            return False
+        if self._may_postpone_list and self.is_informed(now):
+            self._may_postpone_list = False
+            self._relist_after_s += self._next_relist_s()
+            return False
+        return True
+
+    def _next_relist_s(self) -> float:
+        """Return the time until the next list of a node that doesn't watch."""
+        for_members_s = RELIST_S_PER_MEMBER * len(self._directory.peer_views())
+        interval_s = RELIST_INTERVAL_S + for_members_s
+        return self._rng.uniform(0.5, 1.0) * interval_s
 
     async def _list_or_watch(
         self, revision: api.Revision | None
@@ -180,6 +189,8 @@
             self._observe_era(listing.era)
             self._apply_listing(listing.entries)
             revision = listing.revision
+            if self._listed_at >= 0:
+                self._relist_after_s = self._next_relist_s()
             self._listed_at = time.monotonic()
             self._first_listed_at = min(self._first_listed_at, self._listed_at)
         else:
--- a/tests/process/test_platform_watcher.py
+++ b/tests/process/test_platform_watcher.py
@@ -1,5 +1,6 @@
 """Check how nodes list and watch the platform, also after outages."""
 
+import math
 import random
 
 import anyio
@@ -26,6 +27,7 @@
     def __init__(self, silent_from: float, silent_until: float) -> None:
         self.silent = (silent_from, silent_until)
         self.listed_at = []
+        self.watches = 0
 
     def _is_silent(self) -> bool:
         first, last = self.silent
@@ -38,6 +40,7 @@
 
     async def watch(self, prefix, after, wait_s):
         await self._call(wait_s)
+        self.watches += 1
         return api.Changes([], after)
 
     async def _call(self, wait_s):
@@ -83,7 +86,14 @@
 
 
 class PlatformWatcherTest(virtual_time.VirtualTimeTestCase):
-    def watcher(self, platform, watch_timeout_s, batch_delay_s=0.0):
+    def watcher(
+        self,
+        platform,
+        watch_timeout_s,
+        batch_delay_s=0.0,
+        first_relist_delay_s=3.0,
+        watch_delay_s=0.0,
+    ):
         node = messages.NodeId('n1')
         directory = member_directory.MemberDirectory(
             node, objects.DataCentreName('dc')
@@ -102,8 +112,38 @@
             pause=platform_pauses.jittered_pause(random.Random(1), 0.0),
             watch_timeout_s=watch_timeout_s,
             batch_delay_s=batch_delay_s,
+            first_relist_delay_s=first_relist_delay_s,
+            watch_delay_s=watch_delay_s,
         )
 
+    def test_calls_of_a_node_that_is_not_elected(self):
+        # Nodes that had listed while they seemed to be elected listed once
+        # more soon afterwards, and all nodes of a fleet that starts watched.
+        cases = [
+            ('never elected', 0.0, False, 2, 0),
+            ('elected until it hears of others', 3.5, False, 2, 0),
+            ('elected until after the delay', 5.5, False, 3, 2),
+            ('joined a running fleet', 0.0, True, 1, 0),
+        ]
+        for title, elected_until, is_informed, lists, watches in cases:
+            with self.subTest(title):
+                platform = FakePlatform(math.inf, math.inf)
+                watcher = self.watcher(
+                    platform, 1.0, first_relist_delay_s=3.0, watch_delay_s=4.0
+                )
+                watcher.is_watcher = lambda now, until=elected_until: (
+                    anyio.current_time() < until
+                )
+                watcher.is_informed = lambda now, value=is_informed: value
+
+                async def main(loop, run=watcher.run):
+                    with anyio.move_on_after(20.5):
+                        await run()
+
+                self.run_virtual(main)
+                self.assertEqual(lists, len(platform.listed_at))
+                self.assertEqual(watches, platform.watches)
+
     def test_changes_in_quick_succession_are_batched(self):
         platform = BusyPlatform()
         watcher = self.watcher(
