Offer all slots of servers that have few

Cause: a node with adaptive slots starts with 0.8 of them, rounded, so with 2 of 3, and finds more only after 40 requests at the limit, which servers of 5 requests a second reach too late. A third of the room was never offered.

Change: servers of up to 5 slots start with all of them. Not measured by itself.

--- a/jayflow/request/decisions/concurrency_limit.py
+++ b/jayflow/request/decisions/concurrency_limit.py
@@ -11,6 +11,9 @@
 import math
 
 INITIAL_SLOT_SHARE = 0.8
+# Of so few slots each is a large share of the server, and a limit below them
+# is found only after many requests at it.
+FEW_SLOTS = 5
 # Samples for one change of the limit: the median of so many reliably shows
 # a difference of a fifth.
 SAMPLES_PER_STEP = 40
@@ -42,7 +45,9 @@
         """Return how many of a server's slots may be used."""
         if slots != self._slots:
             self._slots = slots
-            self._limit = max(1, round(slots * INITIAL_SLOT_SHARE))
+            self._limit = slots
+            if slots > FEW_SLOTS:
+                self._limit = round(slots * INITIAL_SLOT_SHARE)
             self._measured.clear()
             self._samples.clear()
         return min(self._limit, slots)
--- a/tests/request/test_choices.py
+++ b/tests/request/test_choices.py
@@ -112,6 +112,13 @@
             limit.observe(running, ratio * rng.uniform(0.7, 1.3))
         return limit.usable_slots(18)
 
+    def test_a_server_of_few_slots_starts_with_all(self):
+        # With 2 of 3 slots, a third of the servers' room was never offered.
+        for slots, expected in ((1, 1), (3, 3), (5, 5), (9, 7), (18, 14)):
+            with self.subTest(slots=slots):
+                limit = concurrency_limit.ConcurrencyLimit()
+                self.assertEqual(expected, limit.usable_slots(slots))
+
     def test_disturbed_requests_do_not_change_the_limit(self):
         for seed in range(10):
             with self.subTest(seed=seed):
