--- a/jayflow/connection/codec.py
+++ b/jayflow/connection/codec.py
@@ -6,6 +6,7 @@
 
 import re
 from typing import TypeVar
+import zlib
 
 import msgspec
 
@@ -18,6 +19,28 @@
 )
 
 
+# A document of the platform may have 1 MB; compressed data that claims more is
+# not what a node sends.
+MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
+
+
+def compress(data: bytes) -> bytes:
+    """Return data compressed for another node."""
+    return zlib.compress(data, level=1)
+
+
+def decompress(data: bytes) -> bytes:
+    """Return what another node compressed; ValueError if it is malformed."""
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f'compressed data is malformed: {exc}') from exc
+    if not decompressor.eof:
+        raise ValueError('compressed data is truncated or too large')
+    return decompressed
+
+
 def decode_json(data: bytes, document_type: type[Document]) -> Document:
     """Return a JSON document; msgspec.DecodeError if it is malformed."""
     try:
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -335,7 +335,11 @@
 
 
 class VersionAnswer(msgspec.Struct, array_like=True, tag='J'):
-    """Answer a VersionQuery with the encoding stored in the platform."""
+    """Answer a VersionQuery with the encoding stored in the platform.
+
+    It is compressed with zlib, since a version of tens of kilobytes goes to
+    each node of the fleet.
+    """
 
     attempt: AttemptId
     encoded: bytes
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -12,6 +12,7 @@
 import math
 import time
 
+from jayflow.connection import codec
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import logs
@@ -311,11 +312,18 @@
     ) -> None:
         self.current = snapshot.Version.empty()
         self.encoded = b''
+        self._compressed = b''
         self.applied_at = time.monotonic()
         self._metrics = metrics
         self._on_change = on_change
         self._log = logs.get_logger(logs.Component.CONFIG)
 
+    def compressed(self) -> bytes:
+        """Return the encoded version as it is sent to peers."""
+        if not self._compressed:
+            self._compressed = codec.compress(self.encoded)
+        return self._compressed
+
     def apply(self, version: snapshot.Version, encoded: bytes = b'') -> bool:
         """Activate a version if its number is higher; return whether it is.
 
@@ -325,6 +333,7 @@
             return False
         self.current = version
         self.encoded = encoded
+        self._compressed = b''
         self.applied_at = time.monotonic()
         self._metrics.count_event(metrics_module.Event.CONFIG_APPLIED)
         self._log.info(
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import msgspec
 
+from jayflow.connection import codec
 from jayflow.connection import link_budget
 from jayflow.connection import member as members
 from jayflow.connection import messages
@@ -112,8 +113,8 @@
                     is_renewal=not message.member,
                 )
             case messages.VersionQuery(attempt):
-                encoded = self._handlers.active_version.encoded
-                reply(messages.VersionAnswer(attempt, encoded))
+                compressed = self._handlers.active_version.compressed()
+                reply(messages.VersionAnswer(attempt, compressed))
             case messages.MemberMissing():
                 self._handlers.member_writer.mark_missing(message.must_read)
             case messages.ServerLeft():
@@ -171,11 +172,14 @@
         if member.node != self._node:
             self._directory.put_from_listing(member, now)
 
-    def _apply_peer_version(self, encoded: bytes) -> None:
+    def _apply_peer_version(self, compressed: bytes) -> None:
         """Apply a configuration version that a peer has from the platform."""
-        if self._decode_version is None or not encoded:
+        if self._decode_version is None:
             return
         try:
+            encoded = codec.decompress(compressed)
+            if not encoded:
+                return
             version = self._decode_version(encoded)
         except ValueError as exc:
             self._log.error(
--- a/tests/connection/test_codec.py
+++ b/tests/connection/test_codec.py
@@ -5,6 +5,7 @@
 
 import json
 import unittest
+import zlib
 
 import msgspec
 
@@ -47,3 +48,18 @@
         for title, decode in cases:
             with self.subTest(title), self.assertRaises(msgspec.DecodeError):
                 decode()
+
+
+class CompressedDataTest(unittest.TestCase):
+    def test_a_peer_can_not_make_a_node_expand_data_without_end(self):
+        bomb = zlib.compress(b'0' * (codec.MAX_DECOMPRESSED_BYTES + 1))
+        whole = codec.compress(b'{"version": 1}')
+        self.assertEqual(b'{"version": 1}', codec.decompress(whole))
+        for title, data in (
+            ('too large', bomb),
+            ('truncated', whole[:-1]),
+            ('not compressed', b'{"version": 1}'),
+            ('empty', b''),
+        ):
+            with self.subTest(title), self.assertRaises(ValueError):
+                codec.decompress(data)
