--- a/jayflow/request/caller_request.py
+++ b/jayflow/request/caller_request.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 import time
 
@@ -55,6 +56,14 @@
             return messages.Lane.BULK
         return messages.Lane.SHORT
 
+    @functools.cached_property
+    def size_bytes(self) -> int:
+        """Return the size of the request up to the first part of its body."""
+        header_bytes = sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+        return header_bytes + len(self.target) + len(self.body)
+
     @property
     def response_deadline(self) -> float:
         """Return when the whole response has to be there, or infinity."""
--- a/jayflow/request/decisions/routing.py
+++ b/jayflow/request/decisions/routing.py
@@ -61,8 +61,8 @@
 }
 
 
-# Cost of transferring one byte of a response, as the latency in seconds that
-# is worth as much. Traffic is billed by volume, and between regions it costs
+# Cost of transferring one byte, as the latency in seconds that is worth as
+# much. Traffic is billed by volume, and between regions it costs
 # four times as much as within one.
 BYTE_COST_S = {
     Distance.SAME_DATA_CENTRE: 0.0,
@@ -71,12 +71,28 @@
 }
 
 
+# Headers of a response and framing of the messages of one attempt.
+ATTEMPT_OVERHEAD_BYTES = 400
+
+
 @dataclasses.dataclass(frozen=True)
 class Work:
-    """Describe a request: time on an idle server and response size."""
+    """Describe a request: time on an idle server and sizes.
+
+    The sizes are of the request with its headers and of the response body.
+    """
 
     service_s: float | None = None
     response_bytes: float = 0.0
+    request_bytes: float = 0.0
+
+    @property
+    def transfer_bytes(self) -> float:
+        """Return the bytes that cross the network to and from a server."""
+        if not self.request_bytes:
+            return self.response_bytes
+        sizes = self.request_bytes + self.response_bytes
+        return sizes + ATTEMPT_OVERHEAD_BYTES
 
 
 @dataclasses.dataclass
@@ -248,7 +264,7 @@
             work_s * latency_ratio, self.expected_work_s(work_s, now)
         )
         network_s = ROUND_TRIP_S[self.distance]
-        network_s += work.response_bytes * BYTE_COST_S[self.distance]
+        network_s += work.transfer_bytes * BYTE_COST_S[self.distance]
         return network_s + service_s * (1 + waits + occupancy)
 
 
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -309,7 +309,10 @@
             time.monotonic(),
             self._rng,
             req.policy.cross_region,
-            self._estimates.expected_work(req.policy),
+            dataclasses.replace(
+                self._estimates.expected_work(req.policy),
+                request_bytes=req.size_bytes,
+            ),
             req.allowed_regions,
         )
 
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -181,3 +181,51 @@
             for strategy in ('random', 'jayflow')
         }
         self.assertLessEqual(2 * p99['jayflow'], p99['random'])
+
+
+class TransferCostTest(unittest.TestCase):
+    """Choose between a busy server nearby and an idle one farther away."""
+
+    def test_bytes_of_the_request_count(self):
+        # Without them, an upload was sent to another region to save less
+        # time than its bytes are worth.
+        busy = view('a', running=16)
+        for title, request_bytes, expected in (
+            ('small', 500, 'b'),
+            ('large', 20_000, 'a'),
+        ):
+            with self.subTest(title):
+                views = [busy, view('b', OTHER_REGION)]
+                chosen = routing.choose_peer(
+                    views,
+                    (),
+                    NOW,
+                    random.Random(1),
+                    True,
+                    routing.Work(0.1, 400, request_bytes),
+                )
+                self.assertEqual(expected, chosen.member.node)
+
+    def test_allowed_regions_bind_also_when_no_other_server_is_free(self):
+        near, far = view('a', running=30), view('b', OTHER_REGION)
+        near.region, far.region = 'north', 'south'
+        for allowed, expected in (
+            (None, 'b'),
+            (frozenset({'north'}), 'a'),
+            (frozenset({'south'}), 'b'),
+            (frozenset({'east'}), None),
+            (frozenset(), None),
+        ):
+            with self.subTest(allowed=allowed):
+                chosen = routing.choose_peer(
+                    [near, far],
+                    (),
+                    NOW,
+                    random.Random(1),
+                    True,
+                    routing.Work(0.1),
+                    allowed,
+                )
+                self.assertEqual(
+                    expected, chosen.member.node if chosen else None
+                )
