Report which version the store held when a call was sent

Cause: a node can not tell when its version was last the newest.

Change: lists and watches without changes report the version that the store holds and the time of their sending, by CLOCK_BOOTTIME, as the monotonic clock does not count suspension. A watch whose changes can't all be read is followed by a list: one of them may be a version.

--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -108,11 +108,15 @@
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
-    """Represent the changes under a prefix up to one revision."""
+    """Represent the changes under a prefix up to one revision.
+
+    `unreadable` counts the changes that are left out as malformed.
+    """
 
     changes: list[Change]
     revision: Revision
     era: Era = ONLY_ERA
+    unreadable: int = 0
 
 
 class Platform(Protocol):
--- a/jayflow/platform/metadata_store.py
+++ b/jayflow/platform/metadata_store.py
@@ -145,13 +145,12 @@
         )
         _check(response)
         batch = _decode(response.body, _Events)
+        events = _decode_each(batch.events, _Event)
         return api.Changes(
-            [
-                _change(kind, event)
-                for event in _decode_each(batch.events, _Event)
-            ],
+            [_change(kind, event) for event in events],
             api.Revision(batch.store_revision),
             _era(response),
+            len(batch.events) - len(events),
         )
 
     async def close(self) -> None:
--- a/jayflow/process/platform_objects.py
+++ b/jayflow/process/platform_objects.py
@@ -37,19 +37,29 @@
         self._decode_version = decode_version
         self._own_key = members.KEY_PREFIX + directory.node
         self._pending: snapshot.Manifest | None = None
+        # Number of the version that the store holds, None if it is unknown.
+        self.stored_version: int | None = None
         self._log = logs.get_logger(logs.Component.PLATFORM)
 
+    def forget_version(self) -> None:
+        """Forget which version the store holds."""
+        self.stored_version = None
+
     def apply(self, entry: api.Entry) -> bool:
         """Apply an object; return whether it is valid.
 
         One that another writer left may be malformed.
         """
+        if entry.key == snapshot.MANIFEST_KEY:
+            self.forget_version()
         try:
             if entry.key == snapshot.MANIFEST_KEY and self._decode_version:
                 version = self._decode_version(entry.value)
+                self.stored_version = version.number
                 self._active_version.apply(version, entry.value)
             elif entry.key == snapshot.MANIFEST_KEY:
                 manifest = codec.decode_message(_manifest, entry.value)
+                self.stored_version = manifest.number
                 if manifest.number > self._active_version.current.number:
                     self._pending = manifest
             elif entry.key.startswith(members.KEY_PREFIX):
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -18,10 +18,12 @@
 from jayflow.connection import platform as api
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.process import boot_clock
 from jayflow.process import member_directory
 from jayflow.process import platform_objects
 from jayflow.process import platform_pauses
 from jayflow.process import restored_records
+from jayflow.version import snapshot
 
 WATCH_PREFIX = 'live/'
 # Longest time that one watch call waits for a change.
@@ -46,7 +48,8 @@
     The callbacks report what the node has to pass on: a member that the
     platform doesn't list (with whether it has to read its record, as the one
     that is listed may be old), a changed member, that calls succeed again
-    after failures, a new era of the platform, and the objects of each list.
+    after failures, a new era of the platform, the objects of each list, and
+    the version that the platform held when a call was sent (by boot_clock).
     """
 
     def __init__(
@@ -81,6 +84,9 @@
         self.on_listed: Callable[[list[api.Entry]], None] = lambda entries: (
             None
         )
+        self.on_confirmed: Callable[[int | None, float], None] = (
+            lambda stored_version, sent_at: None
+        )
         self._call_scope: anyio.CancelScope | None = None
         self._listed_at = -math.inf
         self._first_listed_at = math.inf
@@ -175,9 +181,11 @@
     ) -> api.Revision | None:
         """Return the revision to watch from, None to list again."""
         until_recheck_s = self._recheck_at - time.monotonic()
+        is_unchanged, sent_at = True, boot_clock.now()
         if revision is None or until_recheck_s <= 0:
             listing = await self._platform.list(self._prefix)
             self._observe_era(listing.era)
+            self._objects.forget_version()
             self._apply_listing(listing.entries)
             revision = listing.revision
             self._listed_at = time.monotonic()
@@ -190,12 +198,15 @@
             )
             if self._observe_era(batch.era):
                 return None
+            is_unchanged = not batch.changes
             for change in batch.changes:
                 self._apply_change(change)
-            revision = batch.revision
+            revision = None if batch.unreadable else batch.revision
             if batch.changes:
                 await anyio.sleep(self._batch_delay_s)
         await self._objects.fetch_pending()
+        if is_unchanged and revision is not None:
+            self.on_confirmed(self._objects.stored_version, sent_at)
         return revision
 
     def _observe_era(self, era: api.Era) -> bool:
@@ -269,6 +280,8 @@
                 self.on_member_update(
                     messages.MemberUpdate(node, change.entry.value)
                 )
+        elif key == snapshot.MANIFEST_KEY:
+            self._objects.forget_version()
         elif key.startswith(members.KEY_PREFIX):
             self._handle_missing(node, time.monotonic())
             self.on_member_update(messages.MemberUpdate(node))
