Refuse keys by a configuration that may be out of date

Cause: a node that could not reach the store, or was suspended, accepted a revoked key without limit.

Change: with config-max-age, a node learns from calls to the store, or from one peer every 0.5 s, when its version was last the newest. Once 0.95 of the bound have passed, it refuses requests with a key: 503, stale_configuration, not run. Above 2.5 s it refuses an unknown key in the same way, and reads the version from the store. Watches for the configuration wait for at most 0.5 s. The template sets the bound where bounds.revoke_strict is true. Without the setting, nothing is sent or refused; the status has one more field, null.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
@@ -161,6 +161,12 @@
     attempt: AttemptId
 
 
+class ConfigAgeQuery(msgspec.Struct, array_like=True, tag='g'):
+    """Ask a peer for the age of the configuration version that it has."""
+
+    attempt: AttemptId
+
+
 class MemberMissing(msgspec.Struct, array_like=True, tag='N'):
     """Tell a node that its membership record is not in the platform.
 
@@ -341,6 +347,17 @@
     encoded: bytes
 
 
+class ConfigAge(msgspec.Struct, array_like=True, tag='a'):
+    """Answer a ConfigAgeQuery.
+
+    No version above `version` existed `age_ms` ago; None if that is unknown.
+    """
+
+    attempt: AttemptId
+    version: int
+    age_ms: Annotated[int, msgspec.Meta(ge=0)] | None
+
+
 class CrashReport(msgspec.Struct, array_like=True, tag='Z'):
     """Report a crash of a backend server and the requests running in it.
 
@@ -397,6 +414,7 @@
     | Revoke
     | Subscribe
     | VersionQuery
+    | ConfigAgeQuery
     | MemberMissing
     | ServerLeft
     | StatusQuery
@@ -415,6 +433,7 @@
     | NodeState
     | MemberUpdate
     | VersionAnswer
+    | ConfigAge
     | KeyedResultAnswer
     | ClaimAnswer
     | CrashAck
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -17,6 +17,7 @@
 from jayflow.connection import sockets
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.process import config_age
 from jayflow.process import member_directory
 from jayflow.process import member_writer as member_writers
 from jayflow.process import platform_objects
@@ -49,6 +50,7 @@
     active_version: member_directory.ActiveVersion
     idempotent_runner: idempotency.IdempotentRunner
     claim_router: claim_routing.ClaimRouter
+    config_age: config_age.ConfigAgeTracker
 
 
 class MessageRouter:
@@ -114,6 +116,9 @@
             case messages.VersionQuery(attempt):
                 encoded = self._handlers.active_version.encoded
                 reply(messages.VersionAnswer(attempt, encoded))
+            case messages.ConfigAgeQuery():
+                if answer := self._handlers.config_age.answer(message):
+                    reply(answer)
             case messages.MemberMissing():
                 self._handlers.member_writer.mark_missing(message.must_read)
             case messages.ServerLeft():
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -25,6 +25,7 @@
 from jayflow.connection import sockets
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.process import config_age
 from jayflow.process import crash_broadcast
 from jayflow.process import crash_recovery
 from jayflow.process import environment as environments
@@ -36,6 +37,7 @@
 from jayflow.process import message_router
 from jayflow.process import monitoring
 from jayflow.process import own_member
+from jayflow.process import platform_objects
 from jayflow.process import platform_pauses
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.process import server_registration
@@ -187,11 +189,14 @@
             environment.dialect,
             lambda: self._live.current.service,
             self._rng,
+            lambda: self._config_age.is_fresh(),
+            lambda: self._config_age.may_lack_keys(),
         )
         self._platform = self._platform_at(cfg.calls_per_s)
         self._platform_pause = platform_pauses.shared_pause(
             cfg.name, self._directory.peer_views, self._rng, cfg.max_pause
         )
+        self._config_age = self._new_config_age()
         self._is_watcher = False
         self._platform_watchers = [
             self._new_platform_watcher(watch)
@@ -281,6 +286,7 @@
             self._metrics,
             self._platform_age_s,
             self._link_budgets.status,
+            self._config_age.reported_age_s,
         )
         create_version_decoder = environment.create_version_decoder
         self._message_router = message_router.MessageRouter(
@@ -298,6 +304,7 @@
                 self._active_version,
                 self._idempotent_runner,
                 self._claim_router,
+                self._config_age,
             ),
             self._budget_for,
             create_version_decoder(cfg)
@@ -352,6 +359,7 @@
                 caller_server.serve,
                 announcement_server.serve,
                 self._live.run,
+                self._config_age.run,
             ):
                 tasks.start_soon(background_task)
             for platform_watcher in self._platform_watchers:
@@ -389,13 +397,15 @@
             if create_version_decoder is not None
             else None,
             self._platform_pause,
-            watch.watch_timeout_s,
+            self._watch_timeout_s(watch),
             watch.batch_delay_s,
             watch.first_relist_delay_s,
             watch.watch_delay_s,
         )
         if members.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_listed = self._restore_record
+        if snapshot.MANIFEST_KEY.startswith(watch.prefix):
+            platform_watcher.on_confirmed = self._config_age.confirm
         platform_watcher.on_member_missing = self._on_member_missing
         platform_watcher.on_restored = self._on_platform_restored
         platform_watcher.on_member_update = self._broadcast_member_update
@@ -403,6 +413,34 @@
             platform_watcher.is_watcher = self._check_is_watcher
         return platform_watcher
 
+    def _new_config_age(self) -> config_age.ConfigAgeTracker:
+        create_decoder = self._environment.create_version_decoder
+        store_objects = platform_objects.PlatformObjects(
+            self._platform,
+            self._directory,
+            self._active_version,
+            self._metrics,
+            create_decoder(self._cfg) if create_decoder else None,
+        )
+        return config_age.ConfigAgeTracker(
+            self._cfg.name,
+            self._cfg.config_max_age,
+            self._directory,
+            self._active_version,
+            self._exchange_table,
+            self._channel_to,
+            config_age.version_reader(self._platform, store_objects),
+            self._platform_pause,
+            self._metrics,
+        )
+
+    def _watch_timeout_s(self, watch: environments.WatchedPrefix) -> float:
+        """Return the longest wait of a watch; short if the age is bounded."""
+        is_config = snapshot.MANIFEST_KEY.startswith(watch.prefix)
+        if is_config and self._config_age.is_enabled:
+            return min(watch.watch_timeout_s, config_age.MAX_WATCH_S)
+        return watch.watch_timeout_s
+
     def _relist_other_prefixes(self) -> None:
         """List again below all prefixes but that of the configuration."""
         for platform_watcher in self._platform_watchers[1:]:
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -60,6 +60,7 @@
         Field('retry-share', value_parsers.non_negative_number),
         Field('crash-strikes', value_parsers.positive_int),
         Field('adaptive-slots', value_parsers.yes_or_no, False),
+        Field('config-max-age', value_parsers.seconds),
     ),
     'platform': (
         Field('address', value_parsers.address, required=True),
@@ -121,6 +122,7 @@
     retry_share: float | None
     crash_strikes: int | None
     adaptive_slots: bool
+    config_max_age: float | None
     platform: value_parsers.Address
     protocol: Protocol
     call_deadline: float
@@ -194,6 +196,7 @@
             retry_share=node['retry-share'],
             crash_strikes=node['crash-strikes'],
             adaptive_slots=node['adaptive-slots'],
+            config_max_age=node['config-max-age'],
             platform=platform['address'],
             protocol=platform['protocol'],
             max_pause=platform['max-pause'],
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -51,3 +51,4 @@
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
+    config_age_s: float | None = None
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -28,7 +28,9 @@
         metrics: metrics_module.Metrics,
         platform_age_s: Callable[[float], float],
         link_statuses: Callable[[], tuple[documents.LinkStatus, ...]],
+        config_age_s: Callable[[], float | None],
     ) -> None:
+        self._config_age_s = config_age_s
         self._directory = directory
         self._active_version = active_version
         self._executor = executor
@@ -50,6 +52,7 @@
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
+                **self._config_age_gauge(),
             }
         )
 
@@ -85,9 +88,14 @@
                     for member in self._directory.known_members()
                 ),
                 counters=dict(self._metrics.counters),
+                config_age_s=self._config_age_s(),
             )
         )
 
+    def _config_age_gauge(self) -> dict[str, float]:
+        age_s = self._config_age_s()
+        return {} if age_s is None else {'config_age_seconds': age_s}
+
     def _member_status(
         self, member: members.Member, now: float
     ) -> documents.MemberStatus:
--- a/jayflow/request/decisions/config_age.py
+++ b/jayflow/request/decisions/config_age.py
@@ -81,14 +81,13 @@
     def _rank(self) -> tuple:
         """Return the place in the order of the queries.
 
-        Peers with a high age take turns, so that none of those that may
-        have recovered is left out.
+        Peers that know nothing take turns.
         """
         if self.age_s is None:
-            return (not self.is_in_region, 1, self.queried_at)
+            return (not self.is_in_region, 1, 0.0, self.queried_at)
         if self.age_s <= USEFUL_AGE_S:
-            return (not self.is_in_region, 0, self.age_s)
-        return (True, 2, self.queried_at)
+            return (not self.is_in_region, 0, self.age_s, self.queried_at)
+        return (True, 2, self.age_s, self.queried_at)
 
 
 def choose_source(sources: Iterable[Source], now: float) -> Source | None:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -68,7 +68,11 @@
         dialect: header_dialect.HeaderDialect = header_dialect.DEFAULT_DIALECT,
         caller: Callable[[], str] = str,
         rng: random.Random | None = None,
+        is_config_fresh: Callable[[], bool] = lambda: True,
+        may_lack_keys: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_config_fresh = is_config_fresh
+        self._may_lack_keys = may_lack_keys
         self.planned_stop: planned_stop.PlannedStop | None = None
         self._dialect = dialect
         self._caller_service = caller
@@ -308,12 +312,19 @@
             key
         ) or not http_headers.has_no_duplicates(headers, (name,)):
             return _never_sent(Reason.BAD_REQUEST)
+        # The caller sent the request before this check, so that a key that
+        # is valid here was not revoked longer before than the bound.
+        if not self._is_config_fresh():
+            return _never_sent(Reason.STALE_CONFIGURATION)
         if self._key_ring_version != version.number:
             self._key_ring = credentials.KeyRing.from_teams(
                 version.objects.team.values()
             )
             self._key_ring_version = version.number
-        return self._key_ring.team_of(key) or _never_sent(Reason.NO_TEAM)
+        team = self._key_ring.team_of(key)
+        if team is None and self._may_lack_keys():
+            return _never_sent(Reason.STALE_CONFIGURATION)
+        return team or _never_sent(Reason.NO_TEAM)
 
     def _accepts(self, req: caller_request.Request) -> bool:
         return self.planned_stop is None or self.planned_stop.accepts(
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -35,6 +35,7 @@
     NO_ROUTE = 'no_route'
     NO_TEAM = 'no_team'
     NO_CONFIGURATION = 'no_configuration'
+    STALE_CONFIGURATION = 'stale_configuration'
     NO_MEMBER = 'no_member'
     BODY_TOO_LARGE = 'body_too_large'
     KEY_REQUIRED = 'key_required'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -34,9 +34,11 @@
 }
 
 # A starting node knows the configuration and its peers after about 0.5 s; a
-# full queue advances in about the time of one request.
+# full queue advances in about the time of one request. A node that was
+# suspended learns the age of its configuration within half a second.
 _RETRY_AFTER_BY_REASON_S = {
     Reason.NO_CONFIGURATION: 0.5,
+    Reason.STALE_CONFIGURATION: 0.25,
     Reason.NO_MEMBER: 0.5,
     Reason.NODE_STOPPING: 0.5,
     Reason.QUEUE_TIME: 0.25,
--- a/tests/platform/test_node_template.py
+++ b/tests/platform/test_node_template.py
@@ -29,6 +29,7 @@
 }
 ZONES = {'cdmx-a': 'mx-centro', 'mty-a': 'mx-norte'}
 _SECTION = re.compile(r'\{\{#zones\}\}(.*?)\{\{/zones\}\}', re.DOTALL)
+_CONDITION = re.compile(r'\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _PLACEHOLDER = re.compile(r'\{\{([^}]+)\}\}')
 # Field of the platform, its text, setting and the value of the setting.
 NUMBERS = [
@@ -55,7 +56,11 @@
             for zone, region in ZONES.items()
         )
 
+    def expand_condition(section: re.Match) -> str:
+        return section[2] if values.get(section[1]) == 'true' else ''
+
     text = _SECTION.sub(expand_zones, TEMPLATE)
+    text = _CONDITION.sub(expand_condition, text)
     return _PLACEHOLDER.sub(lambda field: values[field[1]], text)
 
 
@@ -68,6 +73,19 @@
                 )
                 self.assertEqual(expected, getattr(cfg, setting))
 
+    def test_the_age_is_bounded_where_revocations_are_strict(self):
+        # A bound where none is asked for would refuse requests in an outage.
+        cases = [
+            ('absent', {}, None),
+            ('false', {'bounds.revoke_strict': 'false'}, None),
+            ('true', {'bounds.revoke_strict': 'true'}, 5.0),
+        ]
+        for name, changes, expected in cases:
+            with self.subTest(name):
+                values = VALUES | {'bounds.revoke_s': '5'} | changes
+                cfg = settings.Settings.from_text('node.ini', render(values))
+                self.assertEqual(expected, cfg.config_max_age)
+
     def test_regions_are_read(self):
         cfg = settings.Settings.from_text('node.ini', render(VALUES))
         self.assertEqual(ZONES, cfg.regions)
--- a/tests/request/test_config_age.py
+++ b/tests/request/test_config_age.py
@@ -59,8 +59,13 @@
         'b',
     ),
     (
-        'peers without a recent age in turn',
+        'the lowest of high ages',
         {'a': (True, 1.6, 9, 0), 'b': (True, math.inf, 8, 0)},
+        'a',
+    ),
+    (
+        'peers that know nothing in turn',
+        {'a': (True, math.inf, 9, 0), 'b': (False, math.inf, 8, 0)},
         'b',
     ),
     (
--- a/tests/request/test_credentials.py
+++ b/tests/request/test_credentials.py
@@ -13,6 +13,7 @@
 from jayflow.request.decisions import credentials
 from jayflow.request import ingress
 from jayflow.request import outcome
+from jayflow.request import problem
 from jayflow.version import objects
 from jayflow.version import snapshot
 
@@ -24,6 +25,9 @@
     regions=('north', 'south'),
 )
 ROUTE = objects.Route('r', 'x', '/', 's', policy='p', regions=('south',))
+PUBLIC = objects.Route('r', 'x', '/', 's', policy='p', public=True)
+NO_TEAM = outcome.Reason.NO_TEAM
+STALE = outcome.Reason.STALE_CONFIGURATION
 CREDENTIAL, TEAM = b'jayflow-credential', b'jayflow-tenant'
 
 
@@ -35,7 +39,7 @@
         return False
 
 
-def build(rows: messages.Headers, route=ROUTE, teams=(ACME,)):
+def build(rows: messages.Headers, route=ROUTE, teams=(ACME,), **callables):
     """Return what an ingress makes of a request with these headers."""
     version = snapshot.Version(
         3,
@@ -52,6 +56,7 @@
         lambda: version,
         metrics_module.Metrics(),
         platform_headers.DIALECT,
+        **callables,
     )
     scope = {
         'method': 'GET',
@@ -86,6 +91,62 @@
                 self.assertEqual(reason, build(rows).reason)
 
 
+class StaleConfigurationTest(unittest.TestCase):
+    """Check what a node refuses that may not know of a revoked key."""
+
+    # Title, headers, route, whether the version is fresh, whether it may lack
+    # a key, and the reason of the refusal.
+    CASES = (
+        ('fresh', [(CREDENTIAL, KEY)], ROUTE, True, False, None),
+        ('fresh, may lack keys', [(CREDENTIAL, KEY)], ROUTE, True, True, None),
+        ('stale', [(CREDENTIAL, KEY)], ROUTE, False, True, STALE),
+        ('stale, unknown', [(CREDENTIAL, b'new')], ROUTE, False, True, STALE),
+        ('new key', [(CREDENTIAL, b'new')], ROUTE, True, True, STALE),
+        ('unknown key', [(CREDENTIAL, b'new')], ROUTE, True, False, NO_TEAM),
+        ('stale, no key', [], ROUTE, False, True, NO_TEAM),
+        ('stale, public', [], PUBLIC, False, True, None),
+        (
+            'stale, key on public',
+            [(CREDENTIAL, KEY)],
+            PUBLIC,
+            False,
+            True,
+            None,
+        ),
+        (
+            'stale, malformed key',
+            [(CREDENTIAL, b'')],
+            ROUTE,
+            False,
+            True,
+            outcome.Reason.BAD_REQUEST,
+        ),
+    )
+
+    def test_only_requests_with_a_key_are_refused(self):
+        for name, rows, route, is_fresh, may_lack_keys, reason in self.CASES:
+            with self.subTest(name):
+                result = build(
+                    rows,
+                    route,
+                    is_config_fresh=lambda is_fresh=is_fresh: is_fresh,
+                    may_lack_keys=lambda may=may_lack_keys: may,
+                )
+                self.assertEqual(reason, getattr(result, 'reason', None))
+
+    def test_without_teams_the_age_has_no_effect(self):
+        req = build([], teams=(), is_config_fresh=lambda: False)
+        self.assertEqual('', req.team)
+
+    def test_a_caller_is_told_to_return_soon(self):
+        failure = build([(CREDENTIAL, KEY)], is_config_fresh=lambda: False)
+        document = problem.Problem.from_failure(failure, is_fractional=True)
+        self.assertEqual(
+            (503, 0.25), (document.status, document.retry_after_s)
+        )
+        self.assertIs(outcome.Outcome.NOT_RUN, document.outcome)
+
+
 class TeamOfRequestTest(unittest.TestCase):
     def test_a_server_gets_the_team_and_never_the_key(self):
         public = objects.Route(
