Read seldom from a store that confirms nothing

Cause: while the store holds a version that is lower than the active one or can't be decoded, every node read from it once a second: 359 reads of 6 nodes in 60 s in the new test.

Change: the time between reads that confirm nothing doubles up to 60 s. It ends early when a peer knows the age.

--- a/jayflow/process/config_age.py
+++ b/jayflow/process/config_age.py
@@ -32,6 +32,9 @@
 ANSWER_TIMEOUT_S = 0.3
 # Minimum time between two reads of the version from the store.
 READ_INTERVAL_S = 1.0
+# The time is doubled up to this while the store holds a version that can't be
+# confirmed, as every node reads then.
+MAX_READ_INTERVAL_S = 60.0
 # All nodes of a region would query the few that watch the store. Those that
 # get no answer query others, which adds one hop to their age.
 MAX_ANSWERS_PER_S = 100
@@ -245,14 +248,14 @@
 
     async def _read_until_recent(self) -> None:
         """Read the version from the store while its age is too high."""
-        failures = 0
+        failures = useless = 0
         try:
             while self.may_lack_keys():
                 sent_at = self.clock()
                 self._metrics.count_event(metrics_module.Event.CONFIG_AGE_READ)
                 try:
                     self.confirm(await self._read_version(), sent_at)
-                    failures = 0
+                    failures, useless = 0, useless + 1
                 except api.PlatformError as exc:
                     failures += 1
                     if failures == 1:
@@ -262,7 +265,14 @@
                             error=str(exc),
                         )
                     await self._pause(failures)
-                elapsed_s = self.clock() - sent_at
-                await anyio.sleep(max(0.0, READ_INTERVAL_S - elapsed_s))
+                pause_s = READ_INTERVAL_S * 2 ** min(useless, 10)
+                await self._wait_recent(
+                    sent_at + min(pause_s, MAX_READ_INTERVAL_S)
+                )
         finally:
             self._is_reading = False
+
+    async def _wait_recent(self, until: float) -> None:
+        """Wait until a time, or until the age is low again."""
+        while self.may_lack_keys() and self.clock() < until:
+            await anyio.sleep(min(QUERY_INTERVAL_S, until - self.clock()))
--- a/tests/process/test_config_age.py
+++ b/tests/process/test_config_age.py
@@ -135,6 +135,18 @@
                     min(gaps_s), config_age.READ_INTERVAL_S
                 )
 
+    def test_nodes_read_seldom_what_they_can_not_confirm(self):
+        # After a restore to a lower version, every node once read from the
+        # store every second.
+        async def main(loop):
+            fleet = config_age_fleet.Fleet(loop, 6)
+            for held in fleet.held.values():
+                held.apply(config_age_fleet.version(3))
+            await fleet.run(60.0)
+            return len(fleet.read_at)
+
+        self.assertLessEqual(self.run_virtual(main), 6 * 6)
+
     def test_a_node_answers_a_bounded_number_of_queries(self):
         async def main(loop):
             fleet = config_age_fleet.Fleet(loop, 1)
