--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -18,6 +18,7 @@
 from jayflow.connection import sockets
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.process import config_age
 from jayflow.process import member_directory
 from jayflow.process import member_writer as member_writers
 from jayflow.process import platform_objects
@@ -50,6 +51,7 @@
     active_version: member_directory.ActiveVersion
     idempotent_runner: idempotency.IdempotentRunner
     claim_router: claim_routing.ClaimRouter
+    config_age: config_age.ConfigAgeTracker
 
 
 class MessageRouter:
@@ -115,6 +117,9 @@
             case messages.VersionQuery(attempt):
                 compressed = self._handlers.active_version.compressed()
                 reply(messages.VersionAnswer(attempt, compressed))
+            case messages.ConfigAgeQuery():
+                if answer := self._handlers.config_age.answer(message):
+                    reply(answer)
             case messages.MemberMissing():
                 self._handlers.member_writer.mark_missing(message.must_read)
             case messages.ServerLeft():
