Limit hedges to a share of a service's requests

Only the retry budget bounded hedges, so an operator could not limit the extra work by itself. The setting hedge-share (per node, per policy) adds a token bucket for each service. Without the setting nothing changes.

--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -92,6 +92,10 @@
         """Count one retry."""
         self._add(f'retried.{reason.value}')
 
+    def count_hedge(self, event: enum.Enum) -> None:
+        """Count a hedge that was sent, won or refused."""
+        self._add(f'hedge.{event.value}')
+
     def count_event(self, event: Event, count: int = 1) -> None:
         """Count an event."""
         self._add(event.value, count)
--- a/jayflow/process/live_settings.py
+++ b/jayflow/process/live_settings.py
@@ -17,6 +17,7 @@
 RELOADABLE_SETTINGS = (
     'service',
     'retry_share',
+    'hedge_share',
     'fleet_retry_burst',
     'leave_time',
     'stop_limit',
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -159,6 +159,7 @@
             self._new_retry_budget,
             environment.dialect,
             self._directory.mark_leaving,
+            lambda: self._live.current.hedge_share,
         )
         writer = claim_writer.ClaimWriter(
             self._platform_at(cfg.claims_per_s), self._metrics
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -58,6 +58,7 @@
         ),
         Field('fleet-retry-burst', value_parsers.non_negative_number),
         Field('retry-share', value_parsers.non_negative_number),
+        Field('hedge-share', value_parsers.non_negative_number),
         Field('crash-strikes', value_parsers.positive_int),
         Field('adaptive-slots', value_parsers.yes_or_no, False),
     ),
@@ -119,6 +120,7 @@
     announcement_ttl: float
     fleet_retry_burst: float | None
     retry_share: float | None
+    hedge_share: float | None
     crash_strikes: int | None
     adaptive_slots: bool
     platform: value_parsers.Address
@@ -192,6 +194,7 @@
             announcement_ttl=node['announcement-ttl'],
             fleet_retry_burst=node['fleet-retry-burst'],
             retry_share=node['retry-share'],
+            hedge_share=node['hedge-share'],
             crash_strikes=node['crash-strikes'],
             adaptive_slots=node['adaptive-slots'],
             platform=platform['address'],
--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -57,7 +57,10 @@
             self._timeout_s = min(self._timeout_s, req.policy.try_timeout)
 
     def send_start(
-        self, sender_data_centre: objects.DataCentreName, work_s: float = 0.0
+        self,
+        sender_data_centre: objects.DataCentreName,
+        work_s: float = 0.0,
+        may_queue: bool = True,
     ) -> None:
         """Send the Start; raise NotSentError if it was never sent."""
         req = self._req
@@ -74,7 +77,7 @@
             rank=req.policy.rank,
             slot_share=req.policy.slot_share,
             max_queue_ms=int(req.policy.queue_time * 1000),
-            max_queue_length=req.policy.queue_length,
+            max_queue_length=req.policy.queue_length if may_queue else 0,
             is_idempotent=req.is_idempotent,
             fingerprint=req.fingerprint,
             suspect=req.is_suspect,
--- a/jayflow/request/decisions/routing.py
+++ b/jayflow/request/decisions/routing.py
@@ -276,7 +276,7 @@
     usable = [
         view
         for view in views
-        if not _is_draining(view, now)
+        if not is_draining(view, now)
         and (allowed_regions is None or view.region in allowed_regions)
         and (
             view.distance is not Distance.OTHER_REGION
@@ -339,7 +339,8 @@
     return times_s[(len(times_s) - 1) // 2] if times_s else DEFAULT_LATENCY_S
 
 
-def _is_draining(view: PeerView, now: float) -> bool:
+def is_draining(view: PeerView, now: float) -> bool:
+    """Return whether a recent report says that the server drains."""
     if view.load is None or not view.load.draining:
         return False
     return now - view.load_received_at < MAX_DRAINING_AGE_S
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import random
@@ -16,6 +17,7 @@
 from jayflow import metrics as metrics_module
 from jayflow.request import attempt as attempts
 from jayflow.request import caller_request
+from jayflow.request.decisions import hedge_budget
 from jayflow.request.decisions import hedging
 from jayflow.request.decisions import retry
 from jayflow.request.decisions import routing
@@ -23,6 +25,7 @@
 from jayflow.request.decisions import work_estimates
 from jayflow.request import exchange as exchanges
 from jayflow.request import header_dialect
+from jayflow.request import hedge_choice
 from jayflow.request import hedged_attempt
 from jayflow.request import outcome
 from jayflow.request import response as responses
@@ -75,7 +78,9 @@
         on_server_leaving: Callable[
             [messages.ServerIncarnation], None
         ] = lambda server: None,
+        node_hedge_share: Callable[[], float | None] = lambda: None,
     ) -> None:
+        self._hedge_limits = hedge_choice.HedgeLimits(node_hedge_share)
         self._dialect = dialect
         self._on_server_leaving = on_server_leaving
         self._new_budget = new_budget
@@ -96,6 +101,7 @@
         """
         budget = self._budget_of(req)
         budget.deposit()
+        self._hedge_limits.deposit(req)
         state = _RequestState()
         worst_failure: outcome.Failure = outcome.NotRun(
             Reason.NO_MEMBER, outcome.Evidence.NEVER_SENT
@@ -167,17 +173,27 @@
         budget: retry.RetryBudget,
     ) -> Result:
         """Run an attempt; hedge it on another server if the first is slow."""
-        may_hedge = state.servers_reached + 2 <= req.policy.tries
+        may_hedge = (
+            state.servers_reached + 2 <= req.policy.tries
+            and self._hedge_limits.share_of(req.policy) != 0
+        )
         if not req.is_idempotent or req.has_more_body or not may_hedge:
             return await self._attempt(req, view)
         work = self._estimates.expected_work(req.policy)
-        progress = hedging.Progress.start(work.service_s, time.monotonic())
+        chooser = hedge_choice.HedgeChooser(
+            req,
+            view,
+            hedging.Progress.start(work.service_s, time.monotonic()),
+            lambda: self._choose(req, state.tried_nodes),
+            lambda: self._peer_views_of(req.service, req.allowed_regions),
+            budget,
+            self._hedge_limits.budget_of(req),
+            self._metrics,
+        )
 
         def choose_hedge() -> routing.PeerView | None:
-            hedge_view = self._choose_hedge(
-                req, view, progress, state, budget.has_reserve
-            )
-            if hedge_view is None or not budget.try_withdraw():
+            hedge_view = chooser.choose()
+            if hedge_view is None:
                 return None
             state.tried_nodes.append(hedge_view.member.node)
             # Both attempts can reach a server; run() counts only the one
@@ -191,46 +207,32 @@
                 second=hedge_view.member.node,
                 slowness=view.slowness(time.monotonic()),
                 done_share=round(
-                    progress.done_work_s / progress.expected_s, 2
+                    chooser.progress.done_work_s / chooser.progress.expected_s,
+                    2,
                 ),
             )
             return hedge_view
 
-        return await hedged_attempt.run_hedged(
+        def run_attempt(chosen: routing.PeerView) -> Awaitable[Result]:
+            # Where hedges are limited, one that finds no free slot is refused
+            # by its receiver, which knows its slots better than this node.
+            may_queue = chosen is view or chooser.limit is None
+            return self._attempt(req, chosen, may_queue)
+
+        result = await hedged_attempt.run_hedged(
             view,
-            lambda chosen: self._attempt(req, chosen),
+            run_attempt,
             choose_hedge,
             lambda result: self._find_failure(req, result) is None,
         )
-
-    def _choose_hedge(
-        self,
-        req: caller_request.Request,
-        view: routing.PeerView,
-        progress: hedging.Progress,
-        state: '_RequestState',
-        has_budget_reserve: bool,
-    ) -> routing.PeerView | None:
-        """Return the server for a hedge, None if it is not worth its cost."""
-        now = time.monotonic()
-        slowness = view.slowness(now)
-        progress.advance(now, slowness)
-        hedge_view = self._choose(req, state.tried_nodes)
-        if hedge_view is None or not hedge_view.has_free_slot():
-            # A hedge that would wait in another queue gains nothing.
-            return None
-        hedge_s = progress.expected_s * hedge_view.slowness(now)
-        hedge_s += routing.ROUND_TRIP_S[hedge_view.distance]
-        is_worthwhile = hedging.is_hedge_worthwhile(
-            progress,
-            slowness,
-            hedge_s,
-            now - req.arrived_at,
-            req.policy.latency_target,
-            req.remaining_s(),
-            has_budget_reserve,
-        )
-        return hedge_view if is_worthwhile else None
+        if (
+            chooser.chosen is not None
+            and isinstance(result, responses.Response)
+            and result.node == chooser.chosen.member.node
+            and self._find_failure(req, result) is None
+        ):
+            self._metrics.count_hedge(hedge_budget.HedgeEvent.WON)
+        return result
 
     async def stream_rest(
         self, req: caller_request.Request, response: responses.Response
@@ -334,7 +336,10 @@
         return retry.retry_reason(failure, context)
 
     async def _attempt(
-        self, req: caller_request.Request, view: routing.PeerView
+        self,
+        req: caller_request.Request,
+        view: routing.PeerView,
+        may_queue: bool = True,
     ) -> Result:
         channel = self._channel_to(view, req.lane)
         timeout_s = min(attempts.CONNECT_TIMEOUT_S, req.remaining_s())
@@ -344,7 +349,7 @@
         attempt = attempts.Attempt(req, view, exchange)
         try:
             work_s = self._estimates.expected_work(req.policy).service_s
-            attempt.send_start(self._data_centre, work_s)
+            attempt.send_start(self._data_centre, work_s, may_queue)
         except sockets.NotSentError as exc:
             exchange.close()
             return self._record_not_sent(exc, view)
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -144,6 +144,8 @@
     Durations are in seconds; retry_share is the number of retries allowed
     per first attempt. A priority replaces the request class as queue order
     and lifts the limit on slots. A latency target of 0 means no target.
+    hedge_share is the number of hedges allowed per request; None leaves the
+    limit to the node.
     """
 
     name: PolicyName
@@ -160,6 +162,7 @@
     latency_target: float = 0.0
     priority: int | None = None
     deadline_scope: DeadlineScope = DeadlineScope.HEAD
+    hedge_share: float | None = None
 
     FIELDS: ClassVar[tuple[Field, ...]] = (
         Field(
@@ -185,6 +188,7 @@
             value_parsers.enum_value(DeadlineScope),
             DeadlineScope.HEAD,
         ),
+        Field('hedge-share', value_parsers.non_negative_number),
     )
 
     @property
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -11,6 +11,7 @@
 
 from jayflow import metrics as metrics_module
 from jayflow.process import settings
+from jayflow.request.decisions import hedge_budget
 from jayflow.request.decisions import retry
 from jayflow.request import outcome
 from jayflow.version import objects
@@ -125,6 +126,7 @@
     def test_the_operators_page_names_every_counter(self):
         names = [f'refused.{reason.value}' for reason in outcome.Reason]
         names += [f'retried.{reason.value}' for reason in retry.RetryReason]
+        names += [f'hedge.{event.value}' for event in hedge_budget.HedgeEvent]
         names += [event.value for event in metrics_module.Event]
         missing = [
             name for name in names if f'`{name}`' not in OPERATIONS_PAGE
