Don't ignore a caller that leaves while a losing attempt ends

run_hedged suppressed the CancelledError of the losing attempt that it awaited, and with it one that was meant for itself. Now both attempts are cancelled before either is waited for, and only a cancellation of the caller is raised. Seen failing: test_a_caller_that_leaves_while_the_loser_ends_is_not_ignored.

--- a/jayflow/request/hedged_attempt.py
+++ b/jayflow/request/hedged_attempt.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 
 from jayflow.request import attempt as attempts
 from jayflow.request.decisions import routing
@@ -42,9 +41,7 @@
             chosen = await _first_good(first, hedge, is_good)
         return chosen
     finally:
-        for attempt in (first, hedge):
-            if attempt is not None:
-                await _discard(attempt, chosen)
+        await _discard([a for a in (first, hedge) if a is not None], chosen)
 
 
 async def _first_good(
@@ -65,14 +62,20 @@
     return min(results, key=sort_key)
 
 
-async def _discard(attempt: asyncio.Future, chosen: Result | None) -> None:
-    """Cancel an attempt, or close its response unless it was chosen."""
-    if not attempt.done():
+async def _discard(
+    attempts_run: list[asyncio.Future], chosen: Result | None
+) -> None:
+    """Cancel the attempts that run; close responses that weren't chosen."""
+    running = [attempt for attempt in attempts_run if not attempt.done()]
+    for attempt in running:
         attempt.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await attempt
-    if attempt.cancelled() or attempt.exception() is not None:
-        return
-    result = attempt.result()
-    if isinstance(result, response.Response) and result is not chosen:
-        result.close()
+    for attempt in attempts_run:
+        if not attempt.done() or attempt.cancelled() or attempt.exception():
+            continue
+        result = attempt.result()
+        if isinstance(result, response.Response) and result is not chosen:
+            result.close()
+    if running:
+        # Unlike awaiting an attempt, this raises only if the caller is
+        # cancelled.
+        await asyncio.wait(running)
--- a/tests/request/test_executor.py
+++ b/tests/request/test_executor.py
@@ -163,6 +163,56 @@
         await anyio.sleep(0.05)
         self.assertEqual(0, self.executor.in_flight)
 
+    async def test_a_cancelled_attempt_frees_what_it_held(self):
+        # An attempt that lost to its hedge, or the hedge that lost, must
+        # leave its slot or its place in the queue to others at once.
+        for title, slots, cancelled, expected_runs in (
+            ('it runs', 1, 1, 2),
+            ('it is queued and has not started', 1, 2, 1),
+        ):
+            with self.subTest(title):
+                self.server.runs = 0
+                self.replies.clear()
+                self.announce(slots=slots)
+                self.server.may_respond.clear()
+                base = 10 * cancelled
+                self.send(
+                    start(base + 1, max_queue_ms=900),
+                    start(base + 2, max_queue_ms=900),
+                )
+                await anyio.sleep(0.02)
+                attempt = messages.AttemptId(SENDER, base + cancelled)
+                self.send(messages.Cancel(attempt))
+                await anyio.sleep(0.02)
+                load = self.executor.load()
+                self.assertEqual((1, 0), (load.running, load.queued))
+                self.server.may_respond.set()
+                await self.executor.wait_idle()
+                self.assertEqual(expected_runs, self.server.runs)
+                self.assertEqual(0, self.executor.load().running)
+
+    async def test_an_attempt_that_may_not_queue_needs_a_free_slot(self):
+        # Limited hedges are sent with a queue length of 0. They must neither
+        # wait nor displace a waiting request, however late that is.
+        for title, slots, queued, expected in (
+            ('a slot is free', 2, 0, None),
+            ('no slot is free', 1, 0, 'queue_full'),
+            ('another request waits', 1, 1, 'queue_full'),
+        ):
+            with self.subTest(title):
+                self.replies.clear()
+                self.announce(slots=slots, services=('lookups',))
+                self.server.may_respond.clear()
+                base = 100 * slots + 10 * queued
+                for number in range(1 + queued):
+                    self.send(start(base + number, max_queue_ms=900, rank=2))
+                self.send(start(base + 9, max_queue_length=0))
+                reasons = [reply.reason for reply in self.replies]
+                self.assertEqual([expected] if expected else [], reasons)
+                self.assertEqual(queued, self.executor.load().queued)
+                self.server.may_respond.set()
+                await self.executor.wait_idle()
+
     async def test_revoke_reports_the_state_of_the_attempt(self):
         self.server.may_respond.clear()
         self.send(start(1))
--- a/tests/request/test_hedged_attempt.py
+++ b/tests/request/test_hedged_attempt.py
@@ -49,3 +49,59 @@
         return await hedged_attempt.run_hedged(
             'first', attempt, lambda: 'second', lambda result: result == GOOD
         )
+
+    async def _cancel_while_the_loser_ends(self):
+        second_started = asyncio.Event()
+        is_cleaning_up = asyncio.Event()
+
+        async def attempt(view):
+            if view == 'second':
+                second_started.set()
+                await asyncio.sleep(0)
+                return GOOD
+            await second_started.wait()
+            try:
+                await asyncio.sleep(10)
+            finally:
+                is_cleaning_up.set()
+                await asyncio.sleep(0)
+
+        task = asyncio.ensure_future(
+            hedged_attempt.run_hedged(
+                'first', attempt, lambda: 'second', lambda result: True
+            )
+        )
+        await is_cleaning_up.wait()
+        task.cancel()
+        await asyncio.wait((task,))
+        return task.cancelled()
+
+    def test_a_caller_that_leaves_while_the_loser_ends_is_not_ignored(self):
+        # The cancellation of the caller was taken for that of the loser.
+        self.assertTrue(asyncio.run(self._cancel_while_the_loser_ends()))
+
+    def test_both_attempts_are_cancelled_before_either_is_waited_for(self):
+        cancelled = []
+
+        async def attempt(view):
+            try:
+                await asyncio.sleep(10)
+            finally:
+                cancelled.append((view, len(cancelled)))
+                if view == 'first':
+                    # Stays until the other one is cancelled, too.
+                    while len(cancelled) < 2:
+                        await asyncio.sleep(0)
+
+        async def run_and_cancel():
+            task = asyncio.ensure_future(
+                hedged_attempt.run_hedged(
+                    'first', attempt, lambda: 'second', lambda result: True
+                )
+            )
+            await asyncio.sleep(0.05)
+            task.cancel()
+            await asyncio.wait((task,), timeout=1)
+
+        asyncio.run(run_and_cancel())
+        self.assertEqual({('first', 0), ('second', 1)}, set(cancelled))
