--- a/tests/request/test_hedge_choice.py
+++ b/tests/request/test_hedge_choice.py
@@ -275,6 +275,27 @@
         self.assertEqual(1, len(self.receivers[1].starts))
         self.assertEqual({'sent': 1}, self.hedge_counters())
 
+    def test_each_hedge_is_paid_for(self):
+        async def main(loop):
+            respond = self.respond_after(1.5)
+            dispatcher = self.build(0.6, 0, 10, respond, respond)
+            now = time.monotonic()
+            results = await asyncio.gather(
+                *[
+                    dispatcher.run(
+                        test_dispatch.request(deadline=now + 2, arrived_at=now)
+                    )
+                    for _ in range(3)
+                ]
+            )
+            for result in results:
+                result.close()
+
+        self.run_virtual(main)
+        # The three requests deposit 1.8 tokens.
+        self.assertEqual(1, self.metrics.counters['hedge.sent'])
+        self.assertEqual(2, self.metrics.counters['hedge.hedge_limit'])
+
     def respond_after(self, delay_s):
         """Return a script that responds to each Start after a delay."""
 
