Warn of configurations that don't do what they say, and compare them

jayflow check reported only faults, so a route that no request matches or a try-timeout below the latency target was found when requests failed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     'claims': 'batched claims of idempotency keys on the platform',
     'transfer': 'downloads with slow readers, and concurrent lookups',
     'routing': 'routing latency against baselines, virtual time',
+    'hedging': 'tail latency by the limit on hedges, virtual time',
     'overload': 'goodput, retries and noisy neighbours, virtual time',
     'fleet': 'cost of a node as the fleet grows',
     'measuring': 'bytes over a link in a surge, against its budgets',
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -182,7 +182,7 @@
         self._select = select
         self._rng = rng
         self._budgets: dict[str, retry.RetryBudget] = {}
-        self.views = [_new_view(server) for server in servers]
+        self.views = [new_view(server) for server in servers]
         self.tries = 0
 
     def send(
@@ -296,7 +296,8 @@
         self._on_done(self._clock.now - self._start, is_served)
 
 
-def _new_view(server: FakeServer) -> routing.PeerView:
+def new_view(server: FakeServer) -> routing.PeerView:
+    """Return a sender's view of a server before any report."""
     member = members.Member(
         messages.NodeId(server.name),
         messages.Incarnation(1),
--- a/jayflow/cli.py
+++ b/jayflow/cli.py
@@ -2,7 +2,8 @@
 
 Exit codes: 0 done, 1 failed, 2 bad input (nothing was started or
 published), 3 another operator published first, 4 version not active on
-every node in time.
+every node in time, 5 warnings under check --strict. For diff: 0 no
+difference, 1 some, 2 not compared.
 """
 
 import argparse
@@ -58,7 +59,9 @@
         ),
         epilog=(
             'Exit codes: 0 done, 1 failed, 2 bad input, 3 another operator '
-            'published first, 4 version not active on every node in time.'
+            'published first, 4 version not active on every node in time, 5 '
+            'warnings under check --strict. For diff: 0 no difference, 1 '
+            'some, 2 not compared.'
         ),
     )
     commands = root.add_subparsers(dest='command', required=True)
@@ -97,7 +100,30 @@
     cmd = commands.add_parser('check', help='check configuration objects')
     cmd.add_argument('files', nargs='+', type=pathlib.Path, metavar='FILE')
     cmd.add_argument('--json', action='store_true')
-    cmd.set_defaults(run=_lazy_command('operate', 'run_check'))
+    cmd.add_argument(
+        '--strict',
+        action='store_true',
+        help='exit with 5 if there are warnings',
+    )
+    cmd.set_defaults(run=_lazy_command('configuration', 'run_check'))
+    cmd = commands.add_parser(
+        'diff', help='compare two configurations, object by object'
+    )
+    cmd.add_argument(
+        'paths',
+        nargs='+',
+        type=pathlib.Path,
+        metavar='OLD NEW',
+        help='files or directories; only NEW with --platform',
+    )
+    _add_address(
+        cmd,
+        '--platform',
+        'compare with the version in force at this object service',
+        is_required=False,
+    )
+    cmd.add_argument('--json', action='store_true')
+    cmd.set_defaults(run=_lazy_command('configuration', 'run_diff'))
     cmd = commands.add_parser(
         'publish', help='check and publish configuration objects'
     )
@@ -186,11 +212,13 @@
     cmd.set_defaults(run=_lazy_command('stand_in', 'run_backend'))
 
 
-def _add_address(cmd, option: str, help_text: str) -> None:
+def _add_address(
+    cmd, option: str, help_text: str, is_required: bool = True
+) -> None:
     cmd.add_argument(
         option,
         type=_argument_type(value_parsers.address),
-        required=True,
+        required=is_required,
         metavar='HOST:PORT',
         help=help_text,
     )
--- a/jayflow/commands/operate.py
+++ b/jayflow/commands/operate.py
@@ -30,17 +30,6 @@
     )
 
 
-def run_check(args: argparse.Namespace) -> exit_codes.ExitCode:
-    """Check the configuration objects in files."""
-    object_set = fleet_client.load_object_files(args.files)
-    counts = status_format.count_objects(object_set)
-    if args.json:
-        _print_json(counts)
-    else:
-        print('All objects are valid:', status_format.format_counts(counts))
-    return exit_codes.ExitCode.DONE
-
-
 def run_publish(args: argparse.Namespace) -> exit_codes.ExitCode:
     """Check and publish the configuration objects in files."""
     object_set = fleet_client.load_object_files(args.files)
--- a/jayflow/process/fleet_client.py
+++ b/jayflow/process/fleet_client.py
@@ -272,10 +272,28 @@
 
 
 def load_object_files(paths: list[pathlib.Path]) -> objects.ObjectSet:
-    """Return the objects of files after all checks.
+    """Return the objects of files and directories after all checks.
 
     Raises an ExceptionGroup that holds every fault.
     """
-    return validation.load_objects(
-        (str(path), path.read_text(encoding='utf-8')) for path in paths
+    return load_files_with_sections(paths).objects
+
+
+def load_files_with_sections(
+    paths: list[pathlib.Path],
+) -> validation.LoadedObjects:
+    """Return the objects of files and directories, with their sections.
+
+    Of a directory, the files whose names end in .ini are read; raises
+    FileNotFoundError if there are none. Raises an ExceptionGroup that holds
+    every fault.
+    """
+    files = []
+    for path in paths:
+        found = sorted(path.glob('*.ini')) if path.is_dir() else [path]
+        if not found:
+            raise FileNotFoundError(f'{path} contains no .ini file')
+        files += found
+    return validation.load_with_sections(
+        (str(path), path.read_text(encoding='utf-8')) for path in files
     )
--- a/jayflow/version/validation.py
+++ b/jayflow/version/validation.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 
 from jayflow.version import findings as diagnostics
 from jayflow.version import inifile
@@ -15,9 +16,25 @@
 BYTES_PER_GB = 10**9
 
 
+@dataclasses.dataclass(frozen=True)
+class LoadedObjects:
+    """Hold valid objects and the sections that describe them."""
+
+    objects: objects.ObjectSet
+    sections: SectionsByObject
+
+
 def load_objects(texts: Iterable[tuple[str, str]]) -> objects.ObjectSet:
     """Return the validated objects of (file name, text) pairs.
 
+    Raises an ExceptionGroup with a FindingError for each fault.
+    """
+    return load_with_sections(texts).objects
+
+
+def load_with_sections(texts: Iterable[tuple[str, str]]) -> LoadedObjects:
+    """Return the validated objects of (file name, text) pairs and sections.
+
     Raises an ExceptionGroup with a FindingError for each fault.
     """
     findings = diagnostics.Findings()
@@ -32,7 +49,7 @@
         _check_references(all_objects, sections_by_object, findings)
         _check_consistency(all_objects, sections_by_object, findings)
     findings.raise_if_any('configuration')
-    return all_objects
+    return LoadedObjects(all_objects, sections_by_object)
 
 
 def _build_objects(
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -23,6 +23,7 @@
             'CHURN_EVENTS': 2,
         }
     },
+    'hedging': {'hedging': {'REQUESTS': 90}},
     'hop': {
         'hop': {
             'ROUNDS': 1,
