--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -19,6 +19,7 @@
 from jayflow.request.decisions import hedging
 from jayflow.request.decisions import retry
 from jayflow.request.decisions import routing
+from jayflow.request import dispatch
 from jayflow.request import hedged_attempt
 
 SERVERS = 9
@@ -71,7 +72,6 @@
     latencies_ms: list[float] = dataclasses.field(default_factory=list)
     requests: int = 0
     hedges: int = 0
-    won: int = 0
     useful_s: float = 0.0
     extra_s: float = 0.0
 
@@ -229,6 +229,7 @@
         self._running: dict = {}
         self._ended: list = []
         self._has_hedged = False
+        self._servers_reached = 0
         self._is_done = False
 
     def start(self) -> None:
@@ -263,28 +264,35 @@
         now = self._clock.now
         slowness = view.slowness(now)
         self._progress.advance(now, slowness)
-        other = self._sender.choose(self._tried, now)
         if (
-            other is not None
-            and len(self._tried) + 1 <= simulation.MAX_TRIES
+            self._is_worthwhile(MEAN_WORK_S, slowness)
+            and (other := self._sender.choose(self._tried, now)) is not None
+            and self._servers_reached + 2 <= simulation.MAX_TRIES
             and other.has_free_slot()
-            and hedging.is_hedge_worthwhile(
-                self._progress,
-                slowness,
-                MEAN_WORK_S * other.slowness(now),
-                now - self._begin,
-                TARGET_S,
-                self._begin + simulation.DEADLINE_S - now,
-                self._sender.retry_budget.has_reserve,
+            and self._is_worthwhile(
+                MEAN_WORK_S * other.slowness(now), slowness
             )
             and self._sender.try_pay_hedge(now)
         ):
             self._has_hedged = True
+            self._servers_reached += 1
             self._owner.totals.hedges += 1
             self._send(other, may_queue=self._owner.limit is None)
             return
         self._check_later(view)
 
+    def _is_worthwhile(self, hedge_s: float, slowness: float) -> bool:
+        now = self._clock.now
+        return hedging.is_hedge_worthwhile(
+            self._progress,
+            slowness,
+            hedge_s,
+            now - self._begin,
+            TARGET_S,
+            self._begin + simulation.DEADLINE_S - now,
+            self._sender.retry_budget.has_reserve,
+        )
+
     def _views(self) -> list[routing.PeerView]:
         return [view for view, _ in self._running.values()]
 
@@ -344,14 +352,23 @@
         return True
 
     def _retry(self) -> None:
+        """Retry after an attempt that did not run, as the dispatcher does.
+
+        Only a request that may have reached a server pays for it.
+        """
         if self._running:
             return
-        if len(self._tried) >= simulation.MAX_TRIES or not (
+        is_paid = not self._servers_reached or (
             self._sender.retry_budget.try_withdraw()
-        ):
-            self._finish(None)
-        else:
+        )
+        may_retry = (
+            len(self._tried) < dispatch.MAX_NODES_TRIED
+            and self._servers_reached < simulation.MAX_TRIES
+        )
+        if may_retry and is_paid:
             self._attempt_next()
+        else:
+            self._finish(None)
 
     def _finish(self, winner: int | None) -> None:
         if self._is_done:
--- a/jayflow/commands/configuration.py
+++ b/jayflow/commands/configuration.py
@@ -13,7 +13,6 @@
 from jayflow.version import diff
 from jayflow.version import findings as diagnostics
 from jayflow.version import lint
-from jayflow.version import objects
 
 ExitCode = exit_codes.ExitCode
 
@@ -61,13 +60,15 @@
     try:
         new = fleet_client.load_object_files(args.paths[-1:])
         if args.platform:
-            old = anyio.run(_fetch_published, args.platform)
+            client = fleet_client.FleetClient.from_address(args.platform)
+            old = anyio.run(client.fetch_published)
         else:
             old = fleet_client.load_object_files(args.paths[:1])
     except* (OSError, TimeoutError, api.PlatformError) as group:
         # FAILED would be taken for a difference.
         for exc in group.exceptions:
-            print(f'jayflow: {exc!r}', file=sys.stderr)
+            # The representation of an OSError does not name the file.
+            print(f'jayflow: {str(exc) or repr(exc)}', file=sys.stderr)
         code = ExitCode.BAD_INPUT
     else:
         changes = diff.compare(old, new)
@@ -79,16 +80,6 @@
     return code
 
 
-async def _fetch_published(address) -> objects.ObjectSet:
-    """Return the objects in force; none if no version is published."""
-    client = fleet_client.FleetClient.from_address(address)
-    with anyio.fail_after(fleet_client.PUBLISH_TIMEOUT_S):
-        manifest, _ = await client.fetch_manifest()
-        if manifest is None:
-            return objects.ObjectSet()
-        return (await client.fetch_version(manifest)).objects
-
-
 def _to_builtins(findings: list[diagnostics.Finding]) -> list[dict]:
     return [
         {
--- a/jayflow/process/fleet_client.py
+++ b/jayflow/process/fleet_client.py
@@ -141,6 +141,14 @@
             parts.append(entry.value if entry else b'')
         return snapshot.Version.from_parts(manifest, parts)
 
+    async def fetch_published(self) -> objects.ObjectSet:
+        """Return the objects in force; none if no version is published."""
+        with anyio.fail_after(PUBLISH_TIMEOUT_S):
+            manifest, _ = await self._call(self.fetch_manifest)
+            if manifest is None:
+                return objects.ObjectSet()
+            return (await self.fetch_version(manifest)).objects
+
     async def fetch_status(self) -> FleetStatus:
         """Return the status of all members that answer in time."""
         manifest, _ = await self._call(self.fetch_manifest)
--- a/tests/process/test_fleet_client.py
+++ b/tests/process/test_fleet_client.py
@@ -74,6 +74,25 @@
         self.assertEqual(0, done.returncode, done.stderr)
         self.assertEqual(before + 1, self._version())
 
+    def test_diff_compares_with_the_version_in_force(self):
+        self._run('publish', str(self.path))
+        done = self._run('diff', str(self.path))
+        self.assertEqual(
+            (0, 'No difference.\n'), (done.returncode, done.stdout)
+        )
+        self.path.write_text(
+            local_cluster.OBJECTS_INI.replace('tries = 3', 'tries = 2')
+            + '[policy unused]\n',
+            encoding='utf-8',
+        )
+        done = self._run('diff', '--json', str(self.path))
+        self.assertEqual(1, done.returncode, done.stderr)
+        changes = json.loads(done.stdout)['changes']
+        self.assertIn(
+            ('policy', 'unused', 'added'),
+            [(row['kind'], row['name'], row['change']) for row in changes],
+        )
+
     def test_status_waits_for_a_version(self):
         done = self._run('publish', '--json', str(self.path))
         version = str(json.loads(done.stdout)['version'])
