--- a/jayflow/version/diff_effects.py
+++ b/jayflow/version/diff_effects.py
@@ -150,13 +150,15 @@
 def _services_text(route: objects.Route | None) -> str:
     if route is None:
         return ''
-    total = sum(part.weight for part in route.split)
-    if not total:
+    parts = [part for part in route.split if part.weight]
+    if not parts:
         return repr(route.service)
+    if len(parts) == 1:
+        return repr(parts[0].service)
+    total = sum(part.weight for part in parts)
     return ', '.join(
         f'{part.service!r} ({part.weight / total:.4g} of all)'
-        for part in route.split
-        if part.weight
+        for part in parts
     )
 
 
--- a/tests/version/test_diff.py
+++ b/tests/version/test_diff.py
@@ -104,6 +104,12 @@
             "all), 'next' (0.1 of all)",
         ],
     ),
+    (
+        'a split whose only service is the same moves nothing',
+        SHOP,
+        SHOP + 'split = s 100, next 0\n',
+        ['~ [route shop] changed', '    split: none -> s 100, next 0'],
+    ),
     (
         'a public route in one region',
         SHOP,
