--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -1,7 +1,10 @@
 """Check that all faults of a settings file are reported together."""
 
+import pathlib
+import tempfile
 import unittest
 
+from jayflow.process import live_settings
 from jayflow.process import settings
 from jayflow.version import findings
 
@@ -37,6 +40,12 @@
     ),
     ('not loopback', '127.0.0.1:3', '10.0.0.1:3', 'loopback'),
     ('level', '[node]', '[logs]\nlevel = loud\n[node]', 'expected one of'),
+    (
+        'a limit on hedges below 0',
+        '[platform]',
+        'hedge-share = -0.1\n[platform]',
+        'expected a number of 0 or more',
+    ),
     ('missing key', 'name = n1\n', '', "missing key 'name'"),
     (
         'duplicate key',
@@ -60,6 +69,31 @@
         cfg = settings.Settings.from_text('node.ini', VALID)
         self.assertEqual(('127.0.0.1', 2), tuple(cfg.peer))
 
+    def test_the_limit_on_hedges(self):
+        # 0 turns hedging off; without the key there is no limit.
+        for line, expected in (
+            ('', None),
+            ('hedge-share = 0\n', 0.0),
+            ('hedge-share = 0.05\n', 0.05),
+            ('hedge-share = 2\n', 2.0),
+        ):
+            with self.subTest(line):
+                text = VALID.replace('[platform]', f'{line}[platform]')
+                cfg = settings.Settings.from_text('node.ini', text)
+                self.assertEqual(expected, cfg.hedge_share)
+
+    def test_a_reload_changes_the_limit_on_hedges(self):
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        path = folder / 'node.ini'
+        path.write_text(VALID, encoding='utf-8')
+        live = live_settings.LiveSettings(settings.Settings.from_file(path))
+        path.write_text(
+            VALID.replace('[platform]', 'hedge-share = 0.02\n[platform]'),
+            encoding='utf-8',
+        )
+        live.reload()
+        self.assertEqual(0.02, live.current.hedge_share)
+
     def test_single_faults(self):
         for title, old, new, expected in CASES:
             with self.subTest(title):
