Limit the requests of a team over all nodes

Teams have a rate that no node enforced. The owner of a team, the first node in rendezvous order, now grants tokens to the nodes that have its requests; requests beyond get 429 with Retry-After.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -389,6 +389,35 @@
     attempt: AttemptId
 
 
+class TeamAllowanceQuery(msgspec.Struct, array_like=True, tag='q'):
+    """Ask the owner of a team's limit for tokens.
+
+    `wanted` includes the requests that are `waiting`. `returned` tokens of
+    earlier grants were not used, `held` ones may still be. A query that wants
+    none asks whether the receiver grants tokens of the team.
+    """
+
+    attempt: AttemptId
+    team: str
+    wanted: int
+    returned: int = 0
+    waiting: int = 0
+    held: int = 0
+
+
+class TeamAllowance(msgspec.Struct, array_like=True, tag='w'):
+    """Answer a TeamAllowanceQuery.
+
+    `is_owner` is false if the node does not grant tokens of the team.
+    """
+
+    attempt: AttemptId
+    team: str
+    granted: int
+    retry_after_ms: int = 0
+    is_owner: bool = True
+
+
 PeerRequest = (
     Start
     | RequestPart
@@ -404,6 +433,7 @@
     | ClaimQuery
     | CrashReport
     | CrashQuery
+    | TeamAllowanceQuery
 )
 PeerReply = (
     Refused
@@ -419,6 +449,7 @@
     | ClaimAnswer
     | CrashAck
     | CrashAnswer
+    | TeamAllowance
     | Credit
 )
 
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -61,6 +61,10 @@
     KEY_CLAIMED = 'key_claimed'
     KEY_REPLAYED = 'key_replayed'
     KEY_CONFLICT = 'key_conflict'
+    TEAM_QUERY = 'team_query'
+    TEAM_ANSWER = 'team_answer'
+    TEAM_TOKENS = 'team_tokens'
+    TEAM_TAKEOVER = 'team_takeover'
 
 
 class Metrics:
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -47,6 +47,8 @@
         self.data_centre = data_centre
         self._objects = objects.ObjectSet()
         self._views: dict[messages.NodeId, routing.PeerView] = {}
+        # Increases when a node becomes known or is forgotten.
+        self.membership = 0
         self._by_service: dict[
             objects.ServiceName, list[routing.PeerView]
         ] = {}
@@ -185,6 +187,8 @@
             or previous.member.incarnation != member.incarnation
         ):
             self._excluded_until.pop(member.node, None)
+        if previous is None:
+            self.membership += 1
         self._views[member.node] = view
         self.forgetful_nodes.discard(member.node)
         if self.forgets_departure(member):
@@ -252,7 +256,8 @@
     def remove(self, node: messages.NodeId) -> None:
         """Remove a member."""
         self._drop_from_services(node)
-        self._views.pop(node, None)
+        if self._views.pop(node, None) is not None:
+            self.membership += 1
         self.forgetful_nodes.discard(node)
 
     def apply_objects(self, config: objects.ObjectSet) -> None:
--- a/jayflow/process/message_router.py
+++ b/jayflow/process/message_router.py
@@ -23,6 +23,7 @@
 from jayflow.process import server_registration
 from jayflow.process import state_publishing
 from jayflow.process import status_reporter as status_reporters
+from jayflow.process import team_limits
 from jayflow.request import claim_routing
 from jayflow.request import exchange as exchanges
 from jayflow.request import executor as executors
@@ -49,6 +50,7 @@
     active_version: member_directory.ActiveVersion
     idempotent_runner: idempotency.IdempotentRunner
     claim_router: claim_routing.ClaimRouter
+    team_limits: team_limits.TeamLimits
 
 
 class MessageRouter:
@@ -125,6 +127,8 @@
                 reply(self._handlers.idempotent_runner.handle_query(message))
             case messages.ClaimQuery():
                 self.tasks.start_soon(self._answer_claim, message, reply)
+            case messages.TeamAllowanceQuery():
+                self._handlers.team_limits.handle_query(message, reply)
             case _:
                 self._handlers.executor.handle(message, reply)
 
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -42,6 +42,7 @@
 from jayflow.process import settings as process_settings
 from jayflow.process import state_publishing
 from jayflow.process import status_reporter
+from jayflow.process import team_limits
 from jayflow.process import watcher_election
 from jayflow.request import claim_routing
 from jayflow.request import claim_segments
@@ -179,6 +180,17 @@
             self._channel_to_claimant,
             self._metrics,
         )
+        self._team_limits = team_limits.TeamLimits(
+            cfg.name,
+            self.incarnation,
+            self._directory,
+            self._exchange_table,
+            self._channel_to,
+            lambda name: self._active_version.current.objects.team.get(name),
+            lambda: self._ingress.is_stopping,
+            self._metrics,
+            getattr(cfg, 'config_max_age', None),
+        )
         self._ingress = ingress.Ingress(
             dispatcher,
             self._idempotent_runner,
@@ -187,6 +199,7 @@
             environment.dialect,
             lambda: self._live.current.service,
             self._rng,
+            self._team_limits.acquire,
         )
         self._platform = self._platform_at(cfg.calls_per_s)
         self._platform_pause = platform_pauses.shared_pause(
@@ -281,6 +294,7 @@
             self._metrics,
             self._platform_age_s,
             self._link_budgets.status,
+            self._team_limits.refusals,
         )
         create_version_decoder = environment.create_version_decoder
         self._message_router = message_router.MessageRouter(
@@ -298,6 +312,7 @@
                 self._active_version,
                 self._idempotent_runner,
                 self._claim_router,
+                self._team_limits,
             ),
             self._budget_for,
             create_version_decoder(cfg)
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -51,3 +51,5 @@
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
+    # Requests refused above the rate of their team, for the teams with most.
+    team_refusals: dict[str, int] = {}
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -28,6 +28,7 @@
         metrics: metrics_module.Metrics,
         platform_age_s: Callable[[float], float],
         link_statuses: Callable[[], tuple[documents.LinkStatus, ...]],
+        team_refusals: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self._directory = directory
         self._active_version = active_version
@@ -35,6 +36,7 @@
         self._metrics = metrics
         self._platform_age_s = platform_age_s
         self._link_statuses = link_statuses
+        self._team_refusals = team_refusals
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -51,6 +53,10 @@
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
             }
+            | {
+                f'team_refused{{team={_quoted(team)}}}': count
+                for team, count in self._team_refusals().items()
+            }
         )
 
     def status(self) -> bytes:
@@ -85,6 +91,7 @@
                     for member in self._directory.known_members()
                 ),
                 counters=dict(self._metrics.counters),
+                team_refusals=self._team_refusals(),
             )
         )
 
@@ -104,3 +111,9 @@
             max(0.0, peer_view.cooldown_until - now),
             load_age_s,
         )
+
+
+def _quoted(label: str) -> str:
+    """Return the value of a label in the Prometheus text format."""
+    escaped = label.replace('\\', '\\\\').replace('"', '\\"')
+    return '"' + escaped.replace('\n', '\\n') + '"'
--- /dev/null
+++ b/jayflow/request/decisions/team_stock.py
@@ -0,0 +1,162 @@
+"""Hold the tokens of a team at a node that has requests of the team.
+
+A stock that is filled before it is empty lets most requests run without
+waiting for the owner. Times are seconds of one host's clock.
+"""
+
+import collections
+import dataclasses
+import math
+
+from jayflow.request.decisions import team_limit
+
+# A stock is filled if it is below the demand of this time.
+LOW_STOCK_S = 0.25
+FULL_STOCK_S = 0.5
+PACE_TIME_CONSTANT_S = 1.0
+# A node asks again after this time at the latest, so that no token is unused
+# because all nodes wait.
+MAX_HOLD_S = 0.5
+# After this, another node is asked.
+NO_ANSWER_RETRY_S = 0.25
+
+
+class _Pace:
+    """Estimate events per second as a moving mean."""
+
+    def __init__(self) -> None:
+        self._per_s = 0.0
+        self._at = -math.inf
+
+    def record(self, now: float) -> None:
+        """Record an event."""
+        self._per_s = self.per_s(now) + 1.0 / PACE_TIME_CONSTANT_S
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the events per second."""
+        elapsed_s = max(0.0, now - self._at)
+        return self._per_s * math.exp(-elapsed_s / PACE_TIME_CONSTANT_S)
+
+
+@dataclasses.dataclass
+class _Batch:
+    tokens: int
+    expires_at: float
+
+
+class Stock:
+    """Hold the tokens of one team at a node that has its requests."""
+
+    def __init__(self) -> None:
+        self._owner = ''
+        self._batches: collections.deque[_Batch] = collections.deque()
+        self._unused = 0
+        self._demand = _Pace()
+        self._served = _Pace()
+        self._held_until = -math.inf
+        self._retry_after_s = 0.0
+        self._refused = 0
+
+    def record_demand(self, now: float) -> None:
+        """Record one request of the team."""
+        self._demand.record(now)
+
+    def take(self, now: float) -> bool:
+        """Use a token if there is one."""
+        self._drop_expired(now)
+        if not self._batches:
+            return False
+        self._batches[0].tokens -= 1
+        if not self._batches[0].tokens:
+            self._batches.popleft()
+        self._served.record(now)
+        return True
+
+    def give_up(self, tokens: int) -> None:
+        """Return tokens to the owner whose requests are gone."""
+        self._unused += tokens
+
+    def is_low(self, now: float) -> bool:
+        """Return whether to ask for tokens before they are needed."""
+        if self.is_held(now):
+            return False
+        self._drop_expired(now)
+        low = max(1.0, LOW_STOCK_S * self._demand.per_s(now))
+        return self._count() < low
+
+    def is_held(self, now: float) -> bool:
+        """Return whether the owner said that no token is free yet."""
+        return now < self._held_until
+
+    def refuse(self, now: float) -> float:
+        """Record a refused request; return its Retry-After in seconds.
+
+        Later callers come back later, at the pace at which tokens came.
+        """
+        self._refused += 1
+        wait_s = max(0.0, self._held_until - now, self._retry_after_s)
+        wait_s += (self._refused - 1) / max(1.0, self._served.per_s(now))
+        return min(
+            team_limit.MAX_RETRY_AFTER_S,
+            max(team_limit.MIN_RETRY_AFTER_S, wait_s),
+        )
+
+    def demand(
+        self, owner: str, waiting: int, now: float
+    ) -> team_limit.Demand:
+        """Return what to ask of an owner.
+
+        What another owner granted is not returned.
+        """
+        asked = self.demand_without_stock(owner, waiting, now)
+        full = math.ceil(FULL_STOCK_S * self._demand.per_s(now))
+        stock = max(0, max(1, full) - asked.held)
+        return dataclasses.replace(asked, wanted=waiting + stock)
+
+    def demand_without_stock(
+        self, owner: str, waiting: int, now: float
+    ) -> team_limit.Demand:
+        """Return what to ask of an owner that is always at hand."""
+        self._drop_expired(now)
+        returned = self._unused if owner == self._owner else 0
+        self._owner, self._unused = owner, 0
+        return team_limit.Demand(waiting, waiting, returned, self._count())
+
+    def record_grant(
+        self,
+        asked: team_limit.Demand,
+        grant: team_limit.Grant,
+        asked_at: float,
+        now: float,
+    ) -> int:
+        """Record an answer; return how many waiting requests may run.
+
+        Only tokens that were asked for as a stock may be used later.
+        """
+        admitted = min(grant.tokens, asked.waiting)
+        stock = min(grant.tokens, asked.wanted) - admitted
+        expires_at = asked_at + team_limit.STOCK_LIFETIME_S
+        if stock > 0:
+            self._batches.append(_Batch(stock, expires_at))
+        if now - asked_at > team_limit.ANSWER_TIMEOUT_S:
+            self.give_up(admitted)
+            return 0
+        self._refused = 0
+        self._retry_after_s = grant.retry_after_s
+        if grant.retry_after_s:
+            self._held_until = now + min(MAX_HOLD_S, grant.retry_after_s)
+        for _ in range(admitted):
+            self._served.record(now)
+        return admitted
+
+    def record_failure(self) -> None:
+        """Record that no owner answered."""
+        self._retry_after_s = NO_ANSWER_RETRY_S
+
+    def _drop_expired(self, now: float) -> None:
+        while self._batches and self._batches[0].expires_at <= now:
+            self._unused += self._batches.popleft().tokens
+
+    def _count(self) -> int:
+        return sum(batch.tokens for batch in self._batches)
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -4,6 +4,7 @@
 document that says whether the request may have run.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -44,6 +45,10 @@
 FIRST_BODY_BYTES = messages.MAX_PART_BYTES
 
 
+# Returns None if a request of the team may run, else its Retry-After in s.
+AcquireAllowance = Callable[[objects.TeamName], Awaitable[float | None]]
+
+
 class CallerGoneError(Exception):
     """Report that the caller closed its connection."""
 
@@ -68,6 +73,7 @@
         dialect: header_dialect.HeaderDialect = header_dialect.DEFAULT_DIALECT,
         caller: Callable[[], str] = str,
         rng: random.Random | None = None,
+        acquire_allowance: AcquireAllowance | None = None,
     ) -> None:
         self.planned_stop: planned_stop.PlannedStop | None = None
         self._dialect = dialect
@@ -76,6 +82,7 @@
         self._key_ring_version = snapshot.NO_VERSION
         self._splitter = splitting.TrafficSplitter(rng or random.Random())
         self._dispatcher = dispatcher
+        self._acquire_allowance = acquire_allowance
         self._idempotent_runner = idempotent_runner
         self._version = version
         self._metrics = metrics
@@ -146,6 +153,17 @@
             )
             await self._send_problem(req_or_failure, send)
             return
+        retry_after_s = await self._team_retry_after_s(req_or_failure)
+        if retry_after_s is not None:
+            await self._send_problem(
+                outcome.NotRun(
+                    Reason.TEAM_LIMIT,
+                    outcome.Evidence.NEVER_SENT,
+                    retry_after_s,
+                ),
+                send,
+            )
+            return
         try:
             result = await self._run(
                 req_or_failure, _idempotency_key(scope, req_or_failure)
@@ -315,6 +333,15 @@
             self._key_ring_version = version.number
         return self._key_ring.team_of(key) or _never_sent(Reason.NO_TEAM)
 
+    async def _team_retry_after_s(
+        self, req: caller_request.Request
+    ) -> float | None:
+        """Return when to retry a request above its team's rate, else None."""
+        team = self._version().objects.team.get(req.team)
+        if team is None or not team.rate or self._acquire_allowance is None:
+            return None
+        return await self._acquire_allowance(req.team)
+
     def _accepts(self, req: caller_request.Request) -> bool:
         return self.planned_stop is None or self.planned_stop.accepts(
             time.monotonic(), req.deadline, req.lane is messages.Lane.BULK
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -34,6 +34,7 @@
     BODY_CUT = 'body_cut'
     NO_ROUTE = 'no_route'
     NO_TEAM = 'no_team'
+    TEAM_LIMIT = 'team_limit'
     NO_CONFIGURATION = 'no_configuration'
     NO_MEMBER = 'no_member'
     BODY_TOO_LARGE = 'body_too_large'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -25,6 +25,7 @@
     Reason.KEY_IN_USE: 409,
     Reason.BODY_TOO_LARGE: 413,
     Reason.KEY_MISMATCH: 422,
+    Reason.TEAM_LIMIT: 429,
     Reason.HEADERS_TOO_LARGE: 431,
 }
 _TIMEOUTS = frozenset({Reason.DEADLINE, Reason.PEER_SILENT})
@@ -74,7 +75,7 @@
             )
         else:
             wait_s = max(MIN_RETRY_AFTER_S, math.ceil(failure.retry_after_s))
-        retry_after_s = wait_s if status == 503 else None
+        retry_after_s = wait_s if status in (429, 503) else None
         return cls(status, failure.outcome, reason, retry_after_s)
 
     def headers(self, body: bytes) -> messages.Headers:
