--- a/jayflow/process/team_owner.py
+++ b/jayflow/process/team_owner.py
@@ -171,7 +171,7 @@
             ):
                 self._begin_takeover(owned, now)
             if self._is_probe_due(owned, PROBE_INTERVAL_S, now):
-                self._start(owned, self._run_probe(team, owned, nodes[0]))
+                self._start(owned, self._run_probes(team, owned, nodes))
         elif len(nodes) == 1:
             self._confirm(owned, True, now)
         elif (
@@ -213,15 +213,21 @@
         owned.is_unknown = False
         owned.probe = None
 
-    async def _run_probe(
-        self, team: objects.TeamName, owned: _Owned, target: messages.NodeId
+    async def _run_probes(
+        self,
+        team: objects.TeamName,
+        owned: _Owned,
+        nodes: list[messages.NodeId],
     ) -> None:
-        """Find out whether the first node grants."""
-        is_granting = await self._probe(target, team, PROBE)
+        """Find out whether a node before this one grants."""
+        rank = nodes.index(self._node) if self._node in nodes else len(nodes)
+        answers = await asyncio.gather(
+            *(self._probe(node, team, PROBE) for node in nodes[:rank])
+        )
         now = self._clock()
-        if is_granting:
+        if any(answers):
             self._begin_takeover(owned, now)
-        elif is_granting is not None:
+        elif all(answer is False for answer in answers):
             owned.bucket.set_full_rate(now)
         owned.is_unknown = False
         owned.probe = None
--- a/jayflow/request/decisions/team_limit.py
+++ b/jayflow/request/decisions/team_limit.py
@@ -5,6 +5,7 @@
 clock. docs/design/team-limits.md derives the bound.
 """
 
+import bisect
 import dataclasses
 import math
 from typing import NewType, Self
@@ -20,14 +21,14 @@
 ANSWER_TIMEOUT_S = 0.15
 # Tokens that a bucket without a burst saves up between two queries.
 MIN_BURST_S = 0.5
-MAX_MIN_BURST = 8.0
+MIN_CAPACITY = 4.0
+MAX_MIN_CAPACITY = 8.0
+# More would overflow while those for whom they are kept do not ask.
+MAX_KEPT_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
 # How long an asker that got less than it needed counts as a competitor.
 COMPETITION_S = 1.0
-# Beyond these, tokens are for any asker; fewer are kept for those whose share
-# is due.
-FREE_TOKENS = 2.0
 REVIEW_INTERVAL_S = 0.1
 
 
@@ -48,7 +49,8 @@
     @classmethod
     def from_rate(cls, rate: float, burst: float) -> Self:
         """Return the limit of a team with a rate and a burst."""
-        capacity = max(burst, 1.0, min(MAX_MIN_BURST, MIN_BURST_S * rate))
+        saved = min(MAX_MIN_CAPACITY, MIN_BURST_S * rate)
+        capacity = max(burst, MIN_CAPACITY, saved)
         bound = (rate * WINDOW_S + burst) * MAX_RATIO + MAX_EXTRA
         # Requests that wait use a token ANSWER_TIMEOUT_S after its grant.
         reserve = bound - rate * (WINDOW_S + ANSWER_TIMEOUT_S) - capacity
@@ -112,7 +114,8 @@
         self._refilled_at = now
         self._refused = 0.0
         self._askers: dict[AskerId, _Asker] = {}
-        self._competitors = 0
+        # When those that got too little were last served.
+        self._hungry_since: list[float] = []
         self._stocks = 0
         self._reviewed_at = -math.inf
 
@@ -176,7 +179,7 @@
 
     def _record_refused(self, entry: _Asker, count: int, now: float) -> None:
         if entry.refused_at <= now - COMPETITION_S:
-            self._competitors += 1
+            bisect.insort(self._hungry_since, entry.served_at)
         entry.refused_at = now
         self._refused = min(
             self._refused + count, MAX_RETRY_AFTER_S * self._rate(now)
@@ -186,17 +189,21 @@
         """Return the most tokens that an asker may get now.
 
         While others have got too little, each gets an equal share of the time
-        since its last tokens, and any asker half of what is free.
+        since its last tokens. One token is kept for each that has waited
+        as long: an asker that comes just after another would always find all
+        tokens gone.
         """
         available = math.floor(self._tokens + 1e-9)
-        others = self._competitors - (entry.refused_at > now - COMPETITION_S)
+        is_hungry = entry.refused_at > now - COMPETITION_S
+        others = len(self._hungry_since) - is_hungry
         if others <= 0:
             return available
+        longer = bisect.bisect_right(self._hungry_since, entry.served_at)
+        longer -= is_hungry
+        kept = min(longer, math.floor(MAX_KEPT_SHARE * self.limit.capacity))
         since_s = min(now - entry.served_at, COMPETITION_S)
-        share = round(since_s * self._rate(now) / (others + 1))
-        if self._tokens >= min(FREE_TOKENS, self._capacity(now)):
-            share = max(1, share, available // 2)
-        return min(available, share)
+        share = max(1, round(since_s * self._rate(now) / (others + 1)))
+        return max(0, min(available - kept, share))
 
     def _stock_allowed(self, wanted: int, waiting: int, now: float) -> int:
         """Return the tokens for a stock; half a bucket stays for others."""
@@ -235,8 +242,10 @@
         }
         entries = self._askers.values()
         self._stocks = sum(entry.stock for entry in entries)
-        self._competitors = sum(
-            entry.refused_at > now - COMPETITION_S for entry in entries
+        self._hungry_since = sorted(
+            entry.served_at
+            for entry in entries
+            if entry.refused_at > now - COMPETITION_S
         )
 
     def _rate(self, now: float) -> float:
--- a/jayflow/request/decisions/team_stock.py
+++ b/jayflow/request/decisions/team_stock.py
@@ -13,9 +13,10 @@
 # A stock is filled if it is below the demand of this time.
 LOW_STOCK_S = 0.25
 FULL_STOCK_S = 0.5
-PACE_TIME_CONSTANT_S = 1.0
-# So long after its last request, a team counts as in use at a node.
-RENEWAL_S = 3.0
+PACE_TIME_CONSTANT_S = 2.0
+# A stock that expired unused is filled again at this demand: below it, most
+# tokens would expire again.
+RENEWAL_DEMAND_PER_S = 0.4
 MIN_RENEWAL_WAIT_S = 0.002
 # A node asks again after this time at the latest, so that no token is unused
 # because all nodes wait.
@@ -28,17 +29,17 @@
     """Estimate events per second as a moving mean."""
 
     def __init__(self) -> None:
-        self.last_at = -math.inf
         self._per_s = 0.0
+        self._at = -math.inf
 
     def record(self, now: float) -> None:
         """Record an event."""
         self._per_s = self.per_s(now) + 1.0 / PACE_TIME_CONSTANT_S
-        self.last_at = now
+        self._at = now
 
     def per_s(self, now: float) -> float:
         """Return the events per second."""
-        elapsed_s = max(0.0, now - self.last_at)
+        elapsed_s = max(0.0, now - self._at)
         return self._per_s * math.exp(-elapsed_s / PACE_TIME_CONSTANT_S)
 
 
@@ -90,12 +91,11 @@
 
     def needs_renewal(self, now: float) -> bool:
         """Return whether to replace tokens that expired unused."""
-        is_in_use = now - self._demand.last_at < RENEWAL_S
-        return is_in_use and self.is_low(now)
+        return self._is_in_use(now) and self.is_low(now)
 
     def renewal_wait_s(self, now: float) -> float | None:
         """Return when to look again whether to renew, None for never."""
-        if now - self._demand.last_at >= RENEWAL_S:
+        if not self._is_in_use(now):
             return None
         if not self._batches:
             return team_limit.STOCK_LIFETIME_S
@@ -171,6 +171,9 @@
         """Record that no owner answered."""
         self._retry_after_s = NO_ANSWER_RETRY_S
 
+    def _is_in_use(self, now: float) -> bool:
+        return self._demand.per_s(now) >= RENEWAL_DEMAND_PER_S
+
     def _drop_expired(self, now: float) -> None:
         while self._batches and self._batches[0].expires_at <= now:
             self._unused += self._batches.popleft().tokens
--- a/tests/process/team_fleet.py
+++ b/tests/process/team_fleet.py
@@ -18,7 +18,6 @@
 from jayflow.process import team_limits
 from jayflow.request.decisions import team_limit
 from jayflow.request import exchange as exchanges
-from jayflow.version import objects
 
 REGIONS = 5
 LOCAL_DELAY_S = 0.0005
