--- a/jayflow/request/decisions/team_limit.py
+++ b/jayflow/request/decisions/team_limit.py
@@ -170,13 +170,21 @@
         self._tokens -= granted
         self._returnable += granted
         if granted:
-            entry.served_at = now
+            self._record_served(entry, now)
         entry.sequence, entry.answer = demand.sequence, Grant(granted)
         if granted < waiting:
             self._record_refused(entry, waiting - granted, now)
             entry.answer = Grant(granted, self._retry_after_s(now))
         return entry.answer
 
+    def _record_served(self, entry: _Asker, now: float) -> None:
+        since = self._hungry_since
+        index = bisect.bisect_left(since, entry.served_at)
+        if index < len(since) and since[index] == entry.served_at:
+            del since[index]
+            bisect.insort(since, now)
+        entry.served_at = now
+
     def _record_refused(self, entry: _Asker, count: int, now: float) -> None:
         if entry.refused_at <= now - COMPETITION_S:
             bisect.insort(self._hungry_since, entry.served_at)
--- a/jayflow/request/decisions/team_stock.py
+++ b/jayflow/request/decisions/team_stock.py
@@ -18,6 +18,8 @@
 # tokens would expire again.
 RENEWAL_DEMAND_PER_S = 0.4
 MIN_RENEWAL_WAIT_S = 0.002
+# The fractional parts of its multiples are spread evenly.
+GOLDEN_RATIO = (math.sqrt(5) - 1) / 2
 # A node asks again after this time at the latest, so that no token is unused
 # because all nodes wait.
 MAX_HOLD_S = 0.5
@@ -114,10 +116,11 @@
         self._refused += 1
         wait_s = max(0.0, self._held_until - now, self._retry_after_s)
         wait_s += (self._refused - 1) / max(1.0, self._served.per_s(now))
-        return min(
-            team_limit.MAX_RETRY_AFTER_S,
-            max(team_limit.MIN_RETRY_AFTER_S, wait_s),
-        )
+        if wait_s >= team_limit.MAX_RETRY_AFTER_S:
+            # Callers beyond the longest time come back spread over half of it.
+            part = self._refused * GOLDEN_RATIO % 1.0
+            wait_s = team_limit.MAX_RETRY_AFTER_S * (1.0 + part) / 2
+        return max(team_limit.MIN_RETRY_AFTER_S, wait_s)
 
     def demand(
         self, owner: str, waiting: int, now: float
