--- a/jayflow/process/team_limits.py
+++ b/jayflow/process/team_limits.py
@@ -8,7 +8,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
-import dataclasses
 import heapq
 import time
 
@@ -17,6 +16,7 @@
 from jayflow.process import member_directory
 from jayflow.process import owner_queries
 from jayflow.process import team_owner
+from jayflow.process import team_waiters
 from jayflow.request.decisions import team_limit
 from jayflow.request.decisions import team_stock
 from jayflow.request import exchange as exchanges
@@ -32,20 +32,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-@dataclasses.dataclass
-class _Requests:
-    """Hold the stock of a team and the requests that wait for an answer."""
-
-    stock: team_stock.Stock = dataclasses.field(
-        default_factory=team_stock.Stock
-    )
-    waiters: collections.deque[asyncio.Future] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    is_asking: bool = False
-    renewal: asyncio.TimerHandle | None = None
-
-
 class TeamLimits:
     """Admit the requests of teams that have a rate over all nodes."""
 
@@ -86,7 +72,7 @@
             clock,
             config_max_age_s or 0.0,
         )
-        self._requests: dict[objects.TeamName, _Requests] = {}
+        self._requests: dict[objects.TeamName, team_waiters.TeamRequests] = {}
         self._refusals: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task] = set()
 
@@ -175,22 +161,26 @@
             self._refusals[OTHER_TEAMS] += count
         return stock.refuse(self._clock())
 
-    def _requests_of(self, team: objects.TeamName) -> _Requests:
+    def _requests_of(
+        self, team: objects.TeamName
+    ) -> team_waiters.TeamRequests:
         requests = self._requests.get(team)
         if requests is None:
             if len(self._requests) >= MAX_STOCKS:
                 # Teams that no version names any more.
                 del self._requests[next(iter(self._requests))]
-            requests = self._requests[team] = _Requests()
+            requests = self._requests[team] = team_waiters.TeamRequests()
         return requests
 
-    async def _wait(self, team: objects.TeamName, requests: _Requests) -> bool:
+    async def _wait(
+        self, team: objects.TeamName, requests: team_waiters.TeamRequests
+    ) -> bool:
         """Wait for a token; return whether there is one."""
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         requests.waiters.append(waiter)
         timer = loop.call_later(
-            team_limit.ANSWER_TIMEOUT_S, _resolve, waiter, False
+            team_limit.ANSWER_TIMEOUT_S, team_waiters.resolve, waiter, False
         )
         if not requests.is_asking:
             self._start_asking(team, requests)
@@ -204,13 +194,13 @@
             timer.cancel()
 
     def _start_asking(
-        self, team: objects.TeamName, requests: _Requests
+        self, team: objects.TeamName, requests: team_waiters.TeamRequests
     ) -> None:
         requests.is_asking = True
         self._start(self._ask_while_needed(team, requests))
 
     async def _ask_while_needed(
-        self, team: objects.TeamName, requests: _Requests
+        self, team: objects.TeamName, requests: team_waiters.TeamRequests
     ) -> None:
         try:
             while True:
@@ -221,10 +211,12 @@
         finally:
             requests.is_asking = False
             self._renew_later(team, requests)
-            _resolve_first(requests.waiters, len(requests.waiters), False)
+            team_waiters.resolve_first(
+                requests.waiters, len(requests.waiters), False
+            )
 
     def _renew_later(
-        self, team: objects.TeamName, requests: _Requests
+        self, team: objects.TeamName, requests: team_waiters.TeamRequests
     ) -> None:
         """Ask again when the stock has expired, if it is still in use."""
 
@@ -243,16 +235,18 @@
                 wait_s, renew
             )
 
-    async def _ask(self, team: objects.TeamName, requests: _Requests) -> None:
+    async def _ask(
+        self, team: objects.TeamName, requests: team_waiters.TeamRequests
+    ) -> None:
         """Ask the owner once, and admit or refuse those who waited."""
         batch, requests.waiters = requests.waiters, collections.deque()
-        _drop_done(batch)
+        team_waiters.drop_done(batch)
         stock = requests.stock
         asked_at = self._clock()
         owner = self._queries.owner_of(team)
         if owner is None:
             stock.record_failure()
-            _resolve_first(batch, len(batch), False)
+            team_waiters.resolve_first(batch, len(batch), False)
             return
         asked = stock.demand(owner, len(batch), asked_at)
         if owner == self._node:
@@ -267,7 +261,7 @@
                 self._queries.skip(owner)
                 if answer is None:
                     stock.record_failure()
-                    _resolve_first(batch, len(batch), False)
+                    team_waiters.resolve_first(batch, len(batch), False)
                 else:
                     requests.waiters.extendleft(reversed(batch))
                 return
@@ -275,46 +269,25 @@
                 answer.granted, answer.retry_after_ms / 1000
             )
         admitted = stock.record_grant(asked, grant, asked_at, self._clock())
-        served = _resolve_first(batch, admitted, True)
-        served += _resolve_first(requests.waiters, admitted - served, True)
+        served = team_waiters.resolve_first(batch, admitted, True)
+        served += team_waiters.resolve_first(
+            requests.waiters, admitted - served, True
+        )
         stock.give_up(admitted - served)
-        _resolve_first(batch, len(batch), False)
+        team_waiters.resolve_first(batch, len(batch), False)
 
-    def _serve_from_stock(self, requests: _Requests) -> None:
+    def _serve_from_stock(self, requests: team_waiters.TeamRequests) -> None:
         """Serve the requests that came while the owner was asked."""
         now = self._clock()
-        _drop_done(requests.waiters)
+        team_waiters.drop_done(requests.waiters)
         while requests.waiters and requests.stock.take(now):
-            _resolve_first(requests.waiters, 1, True)
+            team_waiters.resolve_first(requests.waiters, 1, True)
         if requests.stock.is_held(now):
-            _resolve_first(requests.waiters, len(requests.waiters), False)
+            team_waiters.resolve_first(
+                requests.waiters, len(requests.waiters), False
+            )
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _resolve(waiter: asyncio.Future, is_admitted: bool) -> bool:
-    """Resolve a waiter; return whether it was still waiting."""
-    if waiter.done():
-        return False
-    waiter.set_result(is_admitted)
-    return True
-
-
-def _resolve_first(
-    waiters: collections.deque[asyncio.Future], count: int, is_admitted: bool
-) -> int:
-    """Resolve up to so many waiters; return how many were waiting."""
-    resolved = 0
-    while waiters and resolved < count:
-        resolved += _resolve(waiters.popleft(), is_admitted)
-    return resolved
-
-
-def _drop_done(waiters: collections.deque[asyncio.Future]) -> None:
-    for _ in range(len(waiters)):
-        waiter = waiters.popleft()
-        if not waiter.done():
-            waiters.append(waiter)
--- a/tests/process/test_team_limits.py
+++ b/tests/process/test_team_limits.py
@@ -236,5 +236,20 @@
 
         faults = [(at, restart) for at in range(6, 10)]
         with mock.patch.object(team_limit.TeamBucket, '__init__', begin_full):
-            fleet = self.run_faults(faults)
+            fleet = self.run_faults(faults, until=12.0)
+        self.assertGreater(fleet.most_in_window('t'), fleet.bound('t'))
+
+    def test_the_check_finds_two_owners_at_the_full_rate(self):
+        original = team_limit.TeamBucket.__init__
+
+        def begin_at_full_rate(bucket, limit, now, full_at):
+            original(bucket, limit, now, now)
+
+        with (
+            mock.patch.object(
+                team_limit.TeamBucket, '__init__', begin_at_full_rate
+            ),
+            mock.patch.object(team_limit.TeamBucket, 'begin_takeover'),
+        ):
+            fleet = self.run_faults([(6, cut_off(5))], until=12.0)
         self.assertGreater(fleet.most_in_window('t'), fleet.bound('t'))
