--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -52,3 +52,5 @@
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
     config_age_s: float | None = None
+    # Requests refused above the rate of their team, for the teams with most.
+    team_refusals: dict[str, int] = {}
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -29,6 +29,7 @@
         platform_age_s: Callable[[float], float],
         link_statuses: Callable[[], tuple[documents.LinkStatus, ...]],
         config_age_s: Callable[[], float | None],
+        team_refusals: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self._config_age_s = config_age_s
         self._directory = directory
@@ -37,6 +38,7 @@
         self._metrics = metrics
         self._platform_age_s = platform_age_s
         self._link_statuses = link_statuses
+        self._team_refusals = team_refusals
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -54,6 +56,10 @@
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
                 **self._config_age_gauge(),
             }
+            | {
+                f'team_refused{{team={_quoted(team)}}}': count
+                for team, count in self._team_refusals().items()
+            }
         )
 
     def status(self) -> bytes:
@@ -89,6 +95,7 @@
                 ),
                 counters=dict(self._metrics.counters),
                 config_age_s=self._config_age_s(),
+                team_refusals=self._team_refusals(),
             )
         )
 
@@ -112,3 +119,9 @@
             max(0.0, peer_view.cooldown_until - now),
             load_age_s,
         )
+
+
+def _quoted(label: str) -> str:
+    """Return the value of a label in the Prometheus text format."""
+    escaped = label.replace('\\', '\\\\').replace('"', '\\"')
+    return '"' + escaped.replace('\n', '\\n') + '"'
