Send nothing to the servers of evacuated data centres

An operator had no way to take a data centre out of use but to drain each server by itself. An object evacuations/ZONE in the store now requests it. Elected watchers list and watch the kind; all other nodes learn of a change from the states of their peers, which relay it at once. The knowledge of the higher era and revision holds, so a restored store replaces older knowledge.

Candidates leave out evacuated data centres, and the executor of one refuses new and queued attempts: evacuated, not run, without a cooldown.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -314,6 +314,8 @@
     """Publish a node's load to a subscriber.
 
     `member` is the node's membership record if it has changed, else empty.
+    `evacuated` names the evacuated data centres, as of a revision of the
+    platform in an era; both are 0 until one is evacuated.
     """
 
     node: NodeId
@@ -322,6 +324,9 @@
     version: int
     platform_age_s: float
     member: bytes = b''
+    evacuated: tuple[str, ...] = ()
+    evacuation_revision: int = 0
+    evacuation_era: int = 0
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, tag='M'):
--- a/jayflow/connection/platform.py
+++ b/jayflow/connection/platform.py
@@ -100,11 +100,16 @@
 
 
 class Listing(msgspec.Struct, frozen=True, array_like=True):
-    """Represent the objects under a prefix at one revision."""
+    """Represent the objects under a prefix at one revision.
+
+    If the platform does not know the prefix, it has no objects and can't be
+    watched.
+    """
 
     entries: list[Entry]
     revision: Revision
     era: Era = ONLY_ERA
+    is_known: bool = True
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -115,6 +120,9 @@
     era: Era = ONLY_ERA
 
 
+Read = Listing | Changes
+
+
 class Platform(Protocol):
     """Define the calls that every platform client implements.
 
--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -9,6 +9,7 @@
 from jayflow.platform import heartbeat
 from jayflow.platform import metadata_store
 from jayflow.process import environment
+from jayflow.process import evacuations
 from jayflow.process import platform_watcher as platform_watchers
 from jayflow.version import snapshot
 
@@ -36,6 +37,14 @@
             batch_delay_s=MEMBER_BATCH_DELAY_S,
             watch_delay_s=platform_watchers.FIRST_RELIST_DELAY_S,
         ),
+        # Nodes learn of evacuations from their peers as they subscribe. After
+        # a restart of all nodes the watchers read them within the 5 s that a
+        # change may take.
+        environment.WatchedPrefix(
+            evacuations.KEY_PREFIX,
+            watch_delay_s=platform_watchers.FIRST_RELIST_DELAY_S,
+            watchers_only=True,
+        ),
     ),
     elects_watchers=True,
     create_version_decoder=configuration.create_version_decoder,
--- a/jayflow/platform/metadata_store.py
+++ b/jayflow/platform/metadata_store.py
@@ -1,8 +1,9 @@
 """Call the metadata store of the users' platform.
 
-The store keeps objects by kind and name. jayflow's keys are mapped to two
-kinds: the manifest key to the operator's configuration, and the key of each
-member to the object of that node.
+The store keeps objects by kind and name. jayflow's keys are mapped to three
+kinds: the manifest key to the operator's configuration, the key of each
+member to the object of that node, and the key of each evacuation to the
+operator's object for that data centre. A store may not know the last kind.
 """
 
 from typing import Annotated, Any, TypeVar
@@ -17,6 +18,7 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.platform import protocol
+from jayflow.process import evacuations
 from jayflow.process import settings
 from jayflow.version import snapshot
 
@@ -115,7 +117,13 @@
         entries: list[api.Entry] = []
         revision, era, after = None, None, ''
         while True:
-            page, page_era = await self._fetch_page(kind, after)
+            response = await self._call_page(kind, after)
+            if _is_unknown_kind(kind, response):
+                return api.Listing(
+                    [], api.ABSENT, _era(response), is_known=False
+                )
+            _check(response)
+            page, page_era = _decode(response.body, _Listing), _era(response)
             if era not in (None, page_era):
                 raise api.UnavailableError('the store was restored meanwhile')
             era = page_era
@@ -143,6 +151,8 @@
             f'{protocol.OBJECTS_PATH}{kind}?{query}',
             extra_timeout_s=wait_s,
         )
+        if _is_unknown_kind(kind, response):
+            raise api.TooOldError('the store no longer knows the kind')
         _check(response)
         batch = _decode(response.body, _Events)
         return api.Changes(
@@ -158,15 +168,11 @@
         """Close the connections."""
         await self._client.close()
 
-    async def _fetch_page(
-        self, kind: str, after: str
-    ) -> tuple[_Listing, api.Era]:
+    async def _call_page(self, kind: str, after: str) -> api.Response:
         query = f'?after={urllib.parse.quote(after)}' if after else ''
-        response = await self._client.call(
+        return await self._client.call(
             'GET', f'{protocol.OBJECTS_PATH}{kind}{query}'
         )
-        _check(response)
-        return _decode(response.body, _Listing), _era(response)
 
     async def _write(self, method: str, path: str, body: bytes):
         response = await self._client.write(
@@ -184,6 +190,9 @@
         return protocol.CONFIG_KIND, protocol.CONFIG_NAME
     if key.startswith(members.KEY_PREFIX):
         return protocol.NODES_KIND, key.removeprefix(members.KEY_PREFIX)
+    if key.startswith(evacuations.KEY_PREFIX):
+        name = key.removeprefix(evacuations.KEY_PREFIX)
+        return protocol.EVACUATIONS_KIND, name
     raise ValueError(f'{key!r} maps to no kind of the metadata store')
 
 
@@ -191,6 +200,8 @@
     name = item.metadata.name
     if kind == protocol.NODES_KIND:
         return members.KEY_PREFIX + name
+    if kind == protocol.EVACUATIONS_KIND:
+        return evacuations.KEY_PREFIX + name
     return (
         snapshot.MANIFEST_KEY
         if name == protocol.CONFIG_NAME
@@ -247,6 +258,10 @@
     return api.ONLY_ERA
 
 
+def _is_unknown_kind(kind: str, response: api.Response) -> bool:
+    return kind == protocol.EVACUATIONS_KIND and response.status == NOT_FOUND
+
+
 def _check(response: api.Response) -> None:
     if response.status == TOO_MANY_REQUESTS:
         raise api.UnavailableError('the rate limit is exceeded')
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -26,6 +26,8 @@
 CONFIG_NAME = 'main'
 # The kind that jayflow itself writes, one object for each node.
 NODES_KIND = 'jayflow-nodes'
+# Written by the operator, one object for each evacuated data centre.
+EVACUATIONS_KIND = 'evacuations'
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
--- a/jayflow/process/environment.py
+++ b/jayflow/process/environment.py
@@ -41,7 +41,8 @@
     the node waits for batch_delay_s, so that the next call returns several
     changes at once. A node that is not elected to watch lists the prefix
     again after first_relist_delay_s for the first time. No node watches
-    within watch_delay_s of its first list.
+    within watch_delay_s of its first list. With watchers_only, other nodes
+    never list the prefix, and no node does within watch_delay_s of its start.
     """
 
     prefix: str
@@ -49,6 +50,7 @@
     batch_delay_s: float = 0.0
     first_relist_delay_s: float = platform_watchers.FIRST_RELIST_DELAY_S
     watch_delay_s: float = 0.0
+    watchers_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -55,6 +55,7 @@
         self._refreshed_at = -math.inf
         self._excluded_until: dict[messages.NodeId, float] = {}
         self._leaving = departures.Departures(MAX_LEAVING_SERVERS)
+        self._evacuated: frozenset[objects.DataCentreName] = frozenset()
         # Nodes that would use a server that is leaving.
         self.forgetful_nodes: set[messages.NodeId] = set()
 
@@ -89,7 +90,18 @@
         service: objects.ServiceName,
         allowed_regions: frozenset[objects.RegionName] | None = None,
     ) -> list[routing.PeerView]:
-        """Return the peer views of the members that this node may send to."""
+        """Return the peer views of the members that this node may send to.
+
+        None of them is in an evacuated data centre.
+        """
+        views = self._candidates(service, allowed_regions)
+        return self._not_evacuated(views) if self._evacuated else views
+
+    def _candidates(
+        self,
+        service: objects.ServiceName,
+        allowed_regions: frozenset[objects.RegionName] | None,
+    ) -> list[routing.PeerView]:
         if self.is_full_mesh:
             return self.peer_views_of(service)
         key = service, allowed_regions
@@ -125,9 +137,10 @@
 
     def _choose_subset(self, key: _SubsetKey) -> list[routing.PeerView]:
         service, allowed_regions = key
+        views = self._not_evacuated(self.peer_views_of(service))
         available = [
             view
-            for view in self._not_excluded(self.peer_views_of(service))
+            for view in self._not_excluded(views)
             if allowed_regions is None or view.region in allowed_regions
         ]
         return subset.service_subset(self.node, available)
@@ -148,6 +161,15 @@
             if until > now
         }
 
+    def _not_evacuated(
+        self, views: Iterable[routing.PeerView]
+    ) -> list[routing.PeerView]:
+        return [
+            view
+            for view in views
+            if view.member.data_centre not in self._evacuated
+        ]
+
     def _not_excluded(
         self, views: Iterable[routing.PeerView]
     ) -> list[routing.PeerView]:
@@ -255,6 +277,15 @@
         self._views.pop(node, None)
         self.forgetful_nodes.discard(node)
 
+    def set_evacuated(
+        self, data_centres: Iterable[objects.DataCentreName]
+    ) -> None:
+        """Send nothing more to the servers of these data centres."""
+        self._evacuated = frozenset(data_centres)
+        self._subsets = {
+            key: self._choose_subset(key) for key in self._subsets
+        }
+
     def apply_objects(self, config: objects.ObjectSet) -> None:
         """Apply the regions and data centres of a configuration version."""
         self._objects = config
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import contextlib
+import math
 import random
 import secrets
 import signal
@@ -28,6 +29,7 @@
 from jayflow.process import crash_broadcast
 from jayflow.process import crash_recovery
 from jayflow.process import environment as environments
+from jayflow.process import evacuations
 from jayflow.process import link_budgets
 from jayflow.process import live_settings
 from jayflow.process import load_polling
@@ -71,6 +73,8 @@
 # A forced stop begins when this share of the stop limit is left, so that a
 # node with little processor time ends before it is killed.
 FORCED_STOP_SHARE = 0.1
+# Shorter than the interval at which each watched prefix checks the role.
+WATCHER_CHECK_VALID_S = 0.2
 # Time for peers to read the last replies: a peer's socket discards what it
 # has not read once the connection is closed.
 REPLY_DELIVERY_S = 0.5
@@ -193,6 +197,9 @@
             cfg.name, self._directory.peer_views, self._rng, cfg.max_pause
         )
         self._is_watcher = False
+        self._watcher_checked_at = -math.inf
+        self._evacuations = evacuations.Evacuations(self._metrics)
+        self._evacuations.on_change = self._apply_evacuations
         self._platform_watchers = [
             self._new_platform_watcher(watch)
             for watch in environment.watched_prefixes
@@ -239,6 +246,8 @@
                 name
             ),
         )
+        self._publisher.evacuated = lambda: self._evacuations.current
+        self._subscriptions.on_evacuated = self._evacuations.adopt
         self._executor.on_slowness_change = self._publisher.publish
         self._executor.on_state_change = self._on_own_member_change
         self._executor.crash_tracker.broadcast = (
@@ -282,6 +291,7 @@
             self._platform_age_s,
             self._link_budgets.status,
         )
+        self._status_reporter.evacuated = lambda: self._evacuations.current
         create_version_decoder = environment.create_version_decoder
         self._message_router = message_router.MessageRouter(
             cfg.name,
@@ -393,7 +403,10 @@
             watch.batch_delay_s,
             watch.first_relist_delay_s,
             watch.watch_delay_s,
+            watch.watchers_only,
         )
+        if evacuations.KEY_PREFIX.startswith(watch.prefix):
+            platform_watcher.on_read = self._evacuations.apply
         if members.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_listed = self._restore_record
         platform_watcher.on_member_missing = self._on_member_missing
@@ -409,6 +422,10 @@
             platform_watcher.relist()
 
     def _check_is_watcher(self, now: float) -> bool:
+        # Each watched prefix asks; the answer takes a look at all members.
+        if now - self._watcher_checked_at < WATCHER_CHECK_VALID_S:
+            return self._is_watcher
+        self._watcher_checked_at = now
         views = self._directory.peer_views()
         was_watcher = self._is_watcher
         self._is_watcher = watcher_election.is_watcher(
@@ -630,6 +647,12 @@
         self._link_budgets.apply_objects(version.objects)
         self._publisher.publish()
 
+    def _apply_evacuations(self) -> None:
+        evacuated = self._evacuations.current.data_centres
+        self._directory.set_evacuated(evacuated)
+        self._executor.set_evacuated(self._cfg.data_centre in evacuated)
+        self._publisher.publish()
+
     def _quarantine_duration_s(self, service: objects.ServiceName) -> float:
         config = self._active_version.current.objects
         try:
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -36,6 +36,8 @@
 # A node that is not a watcher first lists again after this time, because nodes
 # that start together write their objects within the first few seconds.
 FIRST_RELIST_DELAY_S = 3.0
+# A first object must be known everywhere within 5 s.
+UNKNOWN_PREFIX_RELIST_S = 3.0
 # Time for the members to write their records again after a restore.
 RESTORE_RECOVERY_S = 2.0
 
@@ -44,9 +46,9 @@
     """Apply the objects below a prefix of the platform, and their changes.
 
     The callbacks report what the node has to pass on: a member that the
-    platform doesn't list (with whether it has to read its record, as the one
-    that is listed may be old), a changed member, that calls succeed again
-    after failures, a new era of the platform, and the objects of each list.
+    platform doesn't list (with whether it must read its record, as the listed
+    one may be old), a changed member, that calls succeed again after failures,
+    a new era, the objects of each list, and what each call has read.
     """
 
     def __init__(
@@ -63,7 +65,10 @@
         batch_delay_s: float = 0.0,
         first_relist_delay_s: float = FIRST_RELIST_DELAY_S,
         watch_delay_s: float = 0.0,
+        watchers_only: bool = False,
     ) -> None:
+        self._watchers_only = watchers_only
+        self._created_at = time.monotonic()
         self._watch_timeout_s = watch_timeout_s
         self._batch_delay_s = batch_delay_s
         self._prefix = prefix
@@ -81,6 +86,7 @@
         self.on_listed: Callable[[list[api.Entry]], None] = lambda entries: (
             None
         )
+        self.on_read: Callable[[api.Read], None] = lambda read: None
         self._call_scope: anyio.CancelScope | None = None
         self._listed_at = -math.inf
         self._first_listed_at = math.inf
@@ -154,8 +160,12 @@
         """Return whether to call: as a watcher, or when a list is due.
 
         After its first list a node waits for watch_delay_s before it watches,
-        since it has not heard of the watchers yet.
+        since it has not heard of the watchers yet. If only watchers list the
+        prefix, it waits for that long after its start.
         """
+        if self._watchers_only:
+            age_s = now - self._created_at
+            return age_s >= self._watch_delay_s and self.is_watcher(now)
         if self._listed_at < 0:
             return True
         may_watch = now - self._first_listed_at >= self._watch_delay_s
@@ -179,9 +189,13 @@
             listing = await self._platform.list(self._prefix)
             self._observe_era(listing.era)
             self._apply_listing(listing.entries)
+            self.on_read(listing)
             revision = listing.revision
             self._listed_at = time.monotonic()
             self._first_listed_at = min(self._first_listed_at, self._listed_at)
+            if not listing.is_known:
+                await anyio.sleep(UNKNOWN_PREFIX_RELIST_S)
+                return None
         else:
             batch = await self._platform.watch(
                 self._prefix,
@@ -192,6 +206,7 @@
                 return None
             for change in batch.changes:
                 self._apply_change(change)
+            self.on_read(batch)
             revision = batch.revision
             if batch.changes:
                 await anyio.sleep(self._batch_delay_s)
--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -22,6 +22,7 @@
 from jayflow.connection import peer_connections as peers
 from jayflow.connection import sockets
 from jayflow import logs
+from jayflow.process import evacuations
 from jayflow.process import member_directory
 from jayflow.request.decisions import routing
 from jayflow.request import executor as executors
@@ -109,6 +110,7 @@
     load: messages.Load
     version: int
     member: bytes
+    evacuated: evacuations.Knowledge
 
     def is_urgent_after(self, previous: Self) -> bool:
         """Return whether the change is to be sent without a pause."""
@@ -138,6 +140,9 @@
         self._version = version
         self._platform_age_s = platform_age_s
         self._send = send
+        self.evacuated: Callable[[], evacuations.Knowledge] = (
+            evacuations.Knowledge
+        )
         self._subscribers: dict[sockets.RoutingId, _Subscriber] = {}
 
     def subscribe(
@@ -199,7 +204,10 @@
 
     def _current_report(self) -> _StateReport:
         return _StateReport(
-            self._executor.load(), self._version(), self._member().encode()
+            self._executor.load(),
+            self._version(),
+            self._member().encode(),
+            self.evacuated(),
         )
 
     def _send_state(
@@ -218,6 +226,9 @@
             report.version,
             round(self._platform_age_s(now), 1),
             report.member if is_member_new else b'',
+            report.evacuated.data_centres,
+            report.evacuated.position.revision,
+            report.evacuated.position.era,
         )
         subscriber.last_report, subscriber.sent_at = report, now
         try:
@@ -247,6 +258,9 @@
         own_member: Callable[[], members.Member],
         version: Callable[[], int],
     ) -> None:
+        self.on_evacuated: Callable[[evacuations.Knowledge], None] = (
+            lambda knowledge: None
+        )
         self._own_member = own_member
         self._version = version
         self._version_asked_at = -math.inf
@@ -375,6 +389,8 @@
         view.last_heard_at = now
         view.platform_heard_at = now - state.platform_age_s
         view.record_load(state.load, now)
+        if state.evacuation_revision:
+            self.on_evacuated(evacuations.Knowledge.from_state(state))
         if state.node in self._directory.forgetful_nodes:
             self._send(
                 view.member,
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -51,3 +51,5 @@
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
+    evacuated: tuple[str, ...] = ()
+    evacuation_revision: int = 0
--- a/jayflow/process/status_format.py
+++ b/jayflow/process/status_format.py
@@ -96,16 +96,23 @@
     services = ','.join(member.services)
     if node_status is None:
         return f'{member.node:<14} {services:<24} silent'
-    state = 'draining' if node_status.draining else 'serving'
     refused = sum(
         count
         for name, count in node_status.counters.items()
         if name.startswith(REFUSED_COUNTER_PREFIXES)
     )
     return (
-        f'{member.node:<14} {services:<24} {state:<9}'
+        f'{member.node:<14} {services:<24} {_state(node_status):<9}'
         f' {node_status.running:>3}/{node_status.slots} running'
         f' {node_status.queued:>3} queued'
         f' {node_status.counters.get("request", 0):>7} requests'
         f' {refused:>5} refused or retried'
     )
+
+
+def _state(node_status: status.NodeStatus) -> str:
+    if node_status.draining:
+        return 'draining'
+    if node_status.data_centre in node_status.evacuated:
+        return 'evacuated'
+    return 'serving'
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -8,6 +8,7 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.process import evacuations
 from jayflow.process import member_directory
 from jayflow.process import status as documents
 from jayflow.request.decisions import quarantine
@@ -35,6 +36,9 @@
         self._metrics = metrics
         self._platform_age_s = platform_age_s
         self._link_statuses = link_statuses
+        self.evacuated: Callable[[], evacuations.Knowledge] = (
+            evacuations.Knowledge
+        )
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -50,6 +54,7 @@
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
+                'evacuated_data_centres': len(self.evacuated().data_centres),
             }
         )
 
@@ -60,6 +65,7 @@
         announced = self._executor.backend.announcement
         quarantine_set = self._executor.crash_tracker.quarantine
         age_s = self._platform_age_s(now)
+        evacuated = self.evacuated()
         return msgspec.json.encode(
             documents.NodeStatus(
                 node=self._directory.node,
@@ -85,6 +91,8 @@
                     for member in self._directory.known_members()
                 ),
                 counters=dict(self._metrics.counters),
+                evacuated=evacuated.data_centres,
+                evacuation_revision=evacuated.position.revision,
             )
         )
 
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -96,6 +96,7 @@
         ] = self.drain_server
         self.link_budget_for: LinkBudgetFor = _no_link_budget
         self.is_stopping = False
+        self.is_evacuated = False
         self._metrics = metrics
         self._clock = clock
         self._log = logs.get_logger(logs.Component.EXECUTOR)
@@ -233,6 +234,15 @@
         self._refuse_queued(Reason.NODE_STOPPING)
         self.on_state_change()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Refuse new and queued attempts while the data centre is evacuated.
+
+        Running ones continue.
+        """
+        self.is_evacuated = is_evacuated
+        if is_evacuated:
+            self._refuse_queued(Reason.EVACUATED)
+
     async def wait_idle(self) -> None:
         """Wait until no request is running or queued."""
         while self._jobs:
@@ -334,6 +344,8 @@
             return Reason.NOT_SERVED_HERE
         if server_announcement.draining:
             return Reason.DRAINING
+        if self.is_evacuated:
+            return Reason.EVACUATED
         if start.remaining_ms <= 0:
             return Reason.DEADLINE
         return None
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -46,6 +46,7 @@
     NODE_FAULT = 'node_fault'
     NODE_STOPPING = 'node_stopping'
     DRAINING = 'draining'
+    EVACUATED = 'evacuated'
     NOT_SERVED_HERE = 'not_served_here'
     QUEUE_FULL = 'queue_full'
     QUEUE_TIME = 'queue_time'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -38,6 +38,7 @@
 _RETRY_AFTER_BY_REASON_S = {
     Reason.NO_CONFIGURATION: 0.5,
     Reason.NO_MEMBER: 0.5,
+    Reason.EVACUATED: 0.5,
     Reason.NODE_STOPPING: 0.5,
     Reason.QUEUE_TIME: 0.25,
     Reason.QUEUE_FULL: 0.25,
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -13,6 +13,7 @@
 from jayflow import metrics as metrics_module
 from jayflow.platform import metadata_store
 from jayflow.platform import protocol
+from jayflow.process import evacuations
 from jayflow.version import snapshot
 from jayflow.version import value_parsers
 
@@ -156,3 +157,36 @@
     async def test_key_that_maps_to_no_kind_is_rejected(self):
         with self.assertRaises(ValueError):
             await self.store.get('claims/x')
+
+    async def test_evacuations_are_listed_and_watched(self):
+        key = evacuations.KEY_PREFIX + 'zone-a'
+        known = evacuations.Evacuations(metrics_module.Metrics())
+        listing = await self.store.list(evacuations.KEY_PREFIX)
+        known.apply(listing)
+        self.assertEqual(
+            ((), True), (tuple(listing.entries), listing.is_known)
+        )
+        revision = await self.store.put(key, b'{}', api.ABSENT)
+        batch = await self.store.watch(
+            evacuations.KEY_PREFIX, listing.revision, 0.5
+        )
+        known.apply(batch)
+        self.assertEqual(('zone-a',), known.current.data_centres)
+        await self.store.delete(key, revision)
+        known.apply(
+            await self.store.watch(evacuations.KEY_PREFIX, batch.revision, 0.5)
+        )
+        self.assertEqual((), known.current.data_centres)
+
+    async def test_a_store_that_does_not_know_evacuations_has_none(self):
+        async def reply_not_found(*args):
+            return 404, None, b'{}'
+
+        self.app._call = reply_not_found
+        listing = await self.store.list(evacuations.KEY_PREFIX)
+        self.assertEqual(([], False), (listing.entries, listing.is_known))
+        with self.assertRaises(api.TooOldError):
+            await self.store.watch(evacuations.KEY_PREFIX, api.ABSENT, 0.1)
+        # The other kinds must exist.
+        with self.assertRaises(api.PlatformError):
+            await self.store.list(members.KEY_PREFIX)
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -12,14 +12,17 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.process import member_directory
 from jayflow.request import caller_request
 from jayflow.request.decisions import quarantine
 from jayflow.request.decisions import routing
 from jayflow.request import dispatch
 from jayflow.request import exchange as exchanges
 from jayflow.request import outcome
+from jayflow.request import problem
 from jayflow.request import response
 from jayflow.version import objects
+import msgspec
 
 SENDER = messages.Incarnation(1)
 TARGET_S = 0.4
@@ -227,3 +230,77 @@
         result = await dispatcher.run(request(policy=policy))
         self.assertIsInstance(result, response.Response)
         self.assertEqual(1, len(self.receivers[1].starts))
+
+    async def test_a_refusal_by_an_evacuated_server_counted_as_its_failure(
+        self,
+    ):
+        def refuse(start):
+            return [messages.Refused(start.attempt, 'evacuated', None)]
+
+        dispatcher = self.build(refuse, lambda start: [head(start)])
+        req = request(is_idempotent=False)
+        result = await dispatcher.run(req)
+        self.assertIsInstance(result, response.Response)
+        self.assertEqual(1, len(self.receivers[0].starts))
+        self.assertEqual(0, self.views[0].failures)
+        self.assertLess(self.views[0].cooldown_until, time.monotonic())
+
+    async def test_no_attempt_goes_to_an_evacuated_data_centre(self):
+        # Title, data centres evacuated, whether the first server fails or is
+        # silent, and which servers get an attempt.
+        failure = 'server_broken'
+        for title, evacuated, fails, expected in (
+            ('first attempt', {0}, False, {1}),
+            ('retry', {1}, True, {0, 2}),
+            ('hedge', {1}, False, {0, 2}),
+            ('all', {0, 1, 2}, False, set()),
+        ):
+            with self.subTest(title):
+
+                def first(start, fails=fails):
+                    if not fails:
+                        return []
+                    return [
+                        messages.AttemptFailed(start.attempt, failure, None)
+                    ]
+
+                def serve(start):
+                    return [head(start)]
+
+                self.build(first, serve, serve)
+                directory = member_directory.MemberDirectory(
+                    messages.NodeId('me'), objects.DataCentreName('dc')
+                )
+                receivers = {}
+                for number, receiver in enumerate(self.receivers):
+                    member = msgspec.structs.replace(
+                        self.views[number].member, data_centre=f'dc{number}'
+                    )
+                    directory.put(member)
+                    view = directory.peer_view(member.node)
+                    view.requires_seat = False
+                    now = time.monotonic()
+                    view.record_load(messages.Load(number, 0, 9, 5.0), now)
+                    receivers[member.node] = receiver
+                directory.set_evacuated({f'dc{n}' for n in evacuated})
+                dispatcher = dispatch.Dispatcher(
+                    self.exchanges,
+                    directory.candidates,
+                    lambda view, lane, known=receivers: known[
+                        view.member.node
+                    ],
+                    metrics_module.Metrics(),
+                    random.Random(1),
+                    objects.DataCentreName('dc'),
+                )
+                result = await dispatcher.run(request())
+                started = {
+                    number
+                    for number, receiver in enumerate(self.receivers)
+                    if receiver.starts
+                }
+                self.assertEqual(expected, started)
+                if not expected:
+                    document = problem.Problem.from_failure(result)
+                    self.assertEqual(503, document.status)
+                    self.assertIs(outcome.Outcome.NOT_RUN, document.outcome)
--- a/tests/request/test_executor.py
+++ b/tests/request/test_executor.py
@@ -140,6 +140,25 @@
         )
         self.assertEqual(0, self.server.runs)
 
+    async def test_an_evacuated_server_gets_nothing_but_ends_its_requests(
+        self,
+    ):
+        self.announce(slots=1)
+        self.server.may_respond.clear()
+        self.send(start(1), start(2, max_queue_ms=900))
+        await anyio.sleep(0.05)
+        self.executor.set_evacuated(True)
+        self.send(start(3))
+        refused = [(row.attempt.sequence, row.reason) for row in self.replies]
+        self.assertEqual([(2, 'evacuated'), (3, 'evacuated')], refused)
+        self.server.may_respond.set()
+        self.assertEqual(200, (await self.wait_for_replies(3))[-1].status)
+        self.executor.set_evacuated(False)
+        await self.executor.wait_idle()
+        self.send(start(4))
+        self.assertEqual(200, (await self.wait_for_replies(4))[-1].status)
+        self.assertEqual(2, self.server.runs)
+
     async def test_a_repeated_start_runs_once(self):
         self.send(start(1), start(1))
         await self.wait_for_replies(1)
