Limit what a cold server gets in each second

A cold server takes Service.cold_rate requests per second and crashes well above that. The time for which a server is cold was read only from the first announcement of its start, and only raised its slowness. Now each heartbeat and each response to a health check that states the time replaces the earlier statement, and a token bucket in the executor's admission holds while the server is cold. Starts of a warm server put the bucket into debt, so the second in which the server turns cold is bounded as well. A node that restarts takes the server in its record for cold until it is told otherwise. Servers with a cold rate are polled every 0.2 s, also while they are busy.

--- a/jayflow/connection/announcement.py
+++ b/jayflow/connection/announcement.py
@@ -19,6 +19,10 @@
     Unix milliseconds, identify one start, so that a restart is noticed.
     `sequence` rises with each announcement. `born` and `sequence` are
     optional; 0 means that the server does not state them.
+
+    `cold_start_s` is how long a server is cold after its start, as it states
+    in each announcement. `cold_s` is how long it is cold from now on: None if
+    it does not say, infinite if nobody knows.
     """
 
     instance: str
@@ -31,6 +35,7 @@
     draining: bool = False
     born: int = 0
     sequence: int = 0
+    cold_s: float | None = None
 
     def __post_init__(self) -> None:
         if not 0 < self.slots <= MAX_SLOTS:
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -50,6 +50,7 @@
     REPLY_DROPPED = 'reply_dropped'
     ANNOUNCEMENT_EXPIRED = 'server_lapsed'
     CRASH = 'crash'
+    SERVER_COLD = 'server_cold'
     EVACUATION_CHANGED = 'evacuation_changed'
     CONFIG_APPLIED = 'config_applied'
     CONFIG_REJECTED = 'config_rejected'
--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -19,6 +19,7 @@
 SLOWNESS_SCALE = 100
 # Longer figures are the work of a faulty server; these fit into a message.
 _FIGURE = rb'\s*([0-9]{1,9})\s*'
+_COLD_MS = re.compile(_FIGURE)
 _LOAD = re.compile(rb','.join([_FIGURE] * 3) + rb'(?:,%b)?' % _FIGURE)
 
 
@@ -77,6 +78,16 @@
     return http_headers.value_of(headers, protocol.SERVER_LEAVING) == b'1'
 
 
+def cold_s_of(headers: messages.Headers) -> float | None:
+    """Return for how long a server says that it is cold.
+
+    Returns None when the header is missing or malformed.
+    """
+    value = http_headers.value_of(headers, protocol.COLD_MS)
+    found = None if value is None else _COLD_MS.fullmatch(value)
+    return int(found[1]) / 1000 if found else None
+
+
 DIALECT = header_dialect.HeaderDialect(
     request_id=protocol.REQUEST_ID,
     expected_instance=protocol.EXPECTED_INSTANCE,
@@ -89,5 +100,6 @@
     classify=classify,
     load_report_of=load_report_of,
     rate_limit_of=rate_limit_of,
+    cold_s_of=cold_s_of,
     is_leaving=is_leaving,
 )
--- a/jayflow/platform/heartbeat.py
+++ b/jayflow/platform/heartbeat.py
@@ -122,13 +122,13 @@
     """Return the announcement in a heartbeat; ValueError if malformed."""
     heartbeat = codec.decode_json(body, _Heartbeat)
     state = heartbeat.status.state
-    cold_start_s = heartbeat.status.cold_remaining_s
+    cold_s = heartbeat.status.cold_remaining_s
     if (
         state not in (protocol.STATE_READY, protocol.STATE_DRAINING)
         or not instance
     ):
         raise ValueError(f'unknown state {state!r} or no instance')
-    if not math.isfinite(cold_start_s) or cold_start_s < 0:
+    if not math.isfinite(cold_s) or cold_s < 0:
         raise ValueError('cold_remaining_s must be finite and not negative')
     address = value_parsers.address(heartbeat.address)
     return announcement.Announcement(
@@ -137,8 +137,8 @@
         host=address.host,
         port=address.port,
         slots=heartbeat.info.slots,
-        cold_start_s=cold_start_s,
         draining=state == protocol.STATE_DRAINING,
         born=heartbeat.born,
         sequence=heartbeat.status.sequence,
+        cold_s=cold_s,
     )
--- a/jayflow/process/load_polling.py
+++ b/jayflow/process/load_polling.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import time
 
 import anyio
@@ -22,6 +23,10 @@
 IDLE_INTERVAL_FACTOR = 5
 # A server that limits the requests per second gets few polls beside them.
 LIMITED_POLL_INTERVAL_S = 1.0
+# Only a poll tells at once that a server has turned cold, so one that limits
+# requests meanwhile is polled at least this often, also beside responses that
+# report its load.
+COLD_POLL_INTERVAL_S = 0.2
 POLL_TIMEOUT_S = 0.5
 
 
@@ -53,6 +58,7 @@
         self._executor = executor
         self._find_service = find_service
         self._has_logged_fault = False
+        self._polled_at = -math.inf
         self._log = logs.get_logger(logs.Component.EXECUTOR)
 
     async def run(self) -> None:
@@ -60,20 +66,31 @@
         while True:
             interval_s = self._interval_s()
             await anyio.sleep(interval_s)
-            age_s = time.monotonic() - self._executor.backend.load_reported_at
             path = self._health_path()
-            if path and age_s >= interval_s:
+            if path and self._is_due(interval_s, time.monotonic()):
                 await self._poll(path)
 
+    def _is_due(self, interval_s: float, now: float) -> bool:
+        backend = self._executor.backend
+        if now - backend.load_reported_at >= interval_s:
+            return True
+        next_check_at = now + interval_s
+        return backend.cold.rate > 0 and (
+            next_check_at - self._polled_at > COLD_POLL_INTERVAL_S
+        )
+
     def _interval_s(self) -> float:
         backend = self._executor.backend
         if backend.announcement is not None and not backend.has_responded:
             return MIN_POLL_INTERVAL_S
-        return poll_interval_s(
+        interval_s = poll_interval_s(
             self._executor.load().latency_ms / 1000,
             self._executor.in_flight > 0,
             backend.rate_limit.is_limited,
         )
+        if backend.cold.rate and not backend.rate_limit.is_limited:
+            return min(interval_s, COLD_POLL_INTERVAL_S)
+        return interval_s
 
     def _health_path(self) -> str:
         for name in self._executor.backend.services:
@@ -83,6 +100,7 @@
         return ''
 
     async def _poll(self, path: str) -> None:
+        self._polled_at = time.monotonic()
         with anyio.move_on_after(POLL_TIMEOUT_S):
             try:
                 await self._executor.poll_load(path)
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -249,6 +249,7 @@
         self._publisher.evacuated = lambda: self._evacuations.current
         self._subscriptions.on_evacuated = self._evacuations.adopt
         self._executor.on_slowness_change = self._publisher.publish
+        self._executor.backend.cold_rate_of = self._cold_rate_of
         self._executor.on_state_change = self._on_own_member_change
         self._executor.crash_tracker.broadcast = (
             crash_broadcast.CrashBroadcaster(
@@ -644,6 +645,7 @@
 
     def _apply_version(self, version: snapshot.Version) -> None:
         self._directory.apply_objects(version.objects)
+        self._executor.backend.refresh_cold_rate()
         self._link_budgets.apply_objects(version.objects)
         self._publisher.publish()
 
@@ -653,6 +655,14 @@
         self._executor.set_evacuated(self._cfg.data_centre in evacuated)
         self._publisher.publish()
 
+    def _cold_rate_of(self, names: tuple[objects.ServiceName, ...]) -> float:
+        """Return the lowest cold rate of services, 0 if none has one."""
+        services = self._active_version.current.objects.service
+        rates = [
+            services[name].cold_rate for name in names if name in services
+        ]
+        return min(filter(None, rates), default=0.0)
+
     def _quarantine_duration_s(self, service: objects.ServiceName) -> float:
         config = self._active_version.current.objects
         try:
--- a/jayflow/process/server_registration.py
+++ b/jayflow/process/server_registration.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import enum
+import math
 import time
 
 from jayflow.connection import announcement as announcements
@@ -182,6 +183,8 @@
             port=server.port,
             slots=stored.slots,
             born=stored.born,
+            # Not known: the last process may have been told otherwise.
+            cold_s=math.inf,
         )
         result = self.announcement_order.admit(announcement)
         if result is AnnounceResult.ACCEPTED:
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -51,5 +51,7 @@
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
+    # Whether the server beside the node is cold.
+    cold: bool = False
     evacuated: tuple[str, ...] = ()
     evacuation_revision: int = 0
--- a/jayflow/process/status_format.py
+++ b/jayflow/process/status_format.py
@@ -115,4 +115,4 @@
         return 'draining'
     if node_status.data_centre in node_status.evacuated:
         return 'evacuated'
-    return 'serving'
+    return 'cold' if node_status.cold else 'serving'
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -54,6 +54,7 @@
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
+                'server_cold': rate_limit.cold.is_cold(time.monotonic()),
                 'evacuated_data_centres': len(self.evacuated().data_centres),
             }
         )
@@ -91,6 +92,7 @@
                     for member in self._directory.known_members()
                 ),
                 counters=dict(self._metrics.counters),
+                cold=self._executor.backend.cold.is_cold(now),
                 evacuated=evacuated.data_centres,
                 evacuation_revision=evacuated.position.revision,
             )
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -12,6 +12,7 @@
 from jayflow.connection import backend_client
 from jayflow.connection import messages
 from jayflow import logs
+from jayflow.request.decisions import cold_limit
 from jayflow.request.decisions import concurrency_limit
 from jayflow.request.decisions import rate_limit
 from jayflow.request.decisions import slowdowns
@@ -20,9 +21,9 @@
 from jayflow.version import objects
 from jayflow.version import value_parsers
 
-# Slowness assumed for a server that has just started: its caches are empty
+# Slowness assumed for a cold server, as after its start: its caches are empty
 # and its code is not compiled yet.
-COLD_START_SLOWNESS = 2.0
+COLD_SLOWNESS = 2.0
 # Requests that run at once until the first response, which tells whether the
 # server limits them. A node that restarts does not know what its last process
 # was told.
@@ -59,9 +60,13 @@
         self._concurrency_limit = (
             concurrency_limit.ConcurrencyLimit() if is_adaptive else None
         )
-        self.rate_limit = rate_limit.RateLimit()
+        self.cold = cold_limit.ColdLimit()
+        self.cold_rate_of: Callable[
+            [tuple[objects.ServiceName, ...]], float
+        ] = lambda services: 0.0
+        self._was_cold = False
+        self.rate_limit = rate_limit.RateLimit(self.cold)
         self._slowdowns = slowdowns.SlowdownTracker()
-        self._cold_start_until = 0.0
         self._log = logs.get_logger(logs.Component.EXECUTOR)
 
     @property
@@ -81,11 +86,8 @@
 
     def slowness(self) -> float:
         """Return the current service time as a multiple of the usual one."""
-        cold_slowness = (
-            COLD_START_SLOWNESS
-            if self._clock() < self._cold_start_until
-            else 1.0
-        )
+        is_cold = self.cold.is_cold(self._clock())
+        cold_slowness = COLD_SLOWNESS if is_cold else 1.0
         return max(self._slowdowns.slowness, cold_slowness)
 
     def expected_s(self, work_s: float) -> float:
@@ -99,18 +101,24 @@
         self.services = server_announcement.services
         if self._incarnation != server_announcement.incarnation:
             self._incarnation = server_announcement.incarnation
-            self.rate_limit = rate_limit.RateLimit()
+            self.rate_limit = rate_limit.RateLimit(self.cold)
             self.has_responded = False
-        if (
+        cold_s = server_announcement.cold_s
+        is_first = (
             previous is None
             or previous.incarnation != server_announcement.incarnation
-        ):
-            self._cold_start_until = now + server_announcement.cold_start_s
+        )
+        if cold_s is None and (is_first or not self.cold.is_stated):
+            cold_s = server_announcement.cold_start_s
+        if is_first:
             self._log.info(
                 'Server announced itself.',
                 instance=server_announcement.instance,
                 port=server_announcement.port,
             )
+        if cold_s is not None:
+            self.cold.observe(cold_s, now)
+        self.refresh_cold_rate()
         address = self.address = value_parsers.Address(
             server_announcement.host, server_announcement.port
         )
@@ -152,6 +160,34 @@
                 else requests_per_s,
             )
 
+    def refresh_cold_rate(self) -> None:
+        """Set the rate that the server's services name for a cold server."""
+        self.cold.set_rate(self.cold_rate_of(self.services), self._clock())
+
+    def observe_cold(self, headers: messages.Headers) -> None:
+        """Record for how long a response says that the server is cold."""
+        cold_s = self._dialect.cold_s_of(headers)
+        if cold_s is not None:
+            self.cold.observe(cold_s, self._clock())
+
+    def has_cold_changed(self) -> bool:
+        """Return whether the server turned cold or warm since the last call.
+
+        It also does so by the time that has passed.
+        """
+        now = self._clock()
+        is_cold = self.cold.is_cold(now)
+        if is_cold == self._was_cold:
+            return False
+        self._was_cold = is_cold
+        cold_s = self.cold.remaining_s(now)
+        self._log.info(
+            'Server is cold.' if is_cold else 'Server is warm.',
+            cold_s=round(cold_s, 3) if math.isfinite(cold_s) else None,
+            requests_per_s=self.cold.rate or None,
+        )
+        return True
+
     def report_rate_limit(self) -> None:
         """Log what a server with a rate limit got, once per interval."""
         counts = self.rate_limit.take_counts(self._clock())
--- a/jayflow/request/decisions/rate_limit.py
+++ b/jayflow/request/decisions/rate_limit.py
@@ -11,6 +11,8 @@
 import dataclasses
 import math
 
+from jayflow.request.decisions import cold_limit
+
 # Requests saved up while there were few, as a time at the limit. In any 4 s a
 # server gets no more than 1.25 times what it takes; the users allow 1.5 times.
 BURST_S = 1.0
@@ -36,10 +38,11 @@
     """Hold the limit of a server and the starts that it still allows.
 
     Times are monotonic seconds. The limit is infinite if the server names
-    none.
+    none. While the server is cold, its cold limit holds as well.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cold: cold_limit.ColdLimit | None = None) -> None:
+        self.cold = cold or cold_limit.ColdLimit()
         self.requests_per_s = math.inf
         self.counts = StartCounts()
         self._tokens = 0.0
@@ -51,6 +54,11 @@
         """Return whether the server names a limit."""
         return not math.isinf(self.requests_per_s)
 
+    @property
+    def is_binding(self) -> bool:
+        """Return whether any limit is in force."""
+        return self.is_limited or self.cold.is_binding
+
     def update(self, requests_per_s: float, now: float) -> bool:
         """Set the limit; return whether it changed.
 
@@ -69,22 +77,28 @@
 
     def wait_s(self, starts: int, now: float) -> float:
         """Return the time until so many starts are allowed."""
+        cold_wait_s = self.cold.wait_s(starts, now)
         if not self.is_limited:
-            return 0.0
+            return cold_wait_s
         self._refill(now)
-        return max(0.0, starts - self._tokens) / self._rate()
+        wait_s = max(0.0, starts - self._tokens) / self._rate()
+        return max(wait_s, cold_wait_s)
 
     def take(self, now: float) -> None:
         """Record a start; wait_s() has said that it is allowed."""
+        self.cold.take(now)
         if self.is_limited:
             self._refill(now)
             self._tokens -= 1
 
     def usable_slots(self, slots: int, mean_service_s: float) -> int:
         """Return how many of a server's slots the limit can fill."""
-        if not self.is_limited or not mean_service_s:
+        rate = self._rate() if self.is_limited else math.inf
+        if self.cold.is_binding:
+            rate = min(rate, self.cold.rate)
+        if math.isinf(rate) or not mean_service_s:
             return slots
-        running = self._rate() * mean_service_s
+        running = rate * mean_service_s
         return min(slots, max(1, math.ceil(SLOT_HEADROOM * running)))
 
     def take_counts(self, now: float) -> StartCounts | None:
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -157,9 +157,21 @@
             self._observe_server(
                 announced.incarnation, headers, may_end_limit=False
             )
+            if self.backend.incarnation == announced.incarnation:
+                self.backend.observe_cold(headers)
+                self._check_cold()
             if self.dialect.is_leaving(headers):
                 self.on_server_leaving(announced.incarnation)
 
+    def _check_cold(self) -> None:
+        """Report at once that the server has turned cold or warm."""
+        if not self.backend.has_cold_changed():
+            return
+        if self.backend.cold.is_cold(self._clock()):
+            self._metrics.count_event(metrics_module.Event.SERVER_COLD)
+        self.on_slowness_change()
+        self._start_queued()
+
     def _observe_server(
         self,
         server: messages.ServerIncarnation,
@@ -188,6 +200,7 @@
             self.on_state_change()
         if server_announcement.draining:
             self._refuse_queued(Reason.DRAINING)
+        self._check_cold()
 
     def restore_server(
         self, server_announcement: announcement.Announcement, valid_s: float
@@ -209,7 +222,7 @@
         ):
             return False
         self.apply_announcement(
-            msgspec.structs.replace(announced, draining=True)
+            msgspec.structs.replace(announced, draining=True, cold_s=None)
         )
         return True
 
@@ -370,7 +383,7 @@
             start.rank,
             now + min(wait_s, max_wait_s),
             Reason.RATE_LIMIT
-            if self.backend.rate_limit.is_limited
+            if self.backend.rate_limit.is_binding
             else Reason.QUEUE_TIME,
             job.is_exclusive,
             start.slot_share,
@@ -650,7 +663,8 @@
         for queued_request in self._admission_queue.remove_expired(now):
             job = self._jobs.pop(queued_request.item)
             self._refuse(job.start, queued_request.reason, job.reply)
-        if self.backend.rate_limit.is_limited:
+        self._check_cold()
+        if self.backend.rate_limit.is_binding:
             self._start_queued()
         for job in list(self._jobs.values()):
             if job.is_overdue(now):
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -47,6 +47,10 @@
     del headers
 
 
+def _no_cold_time(headers: messages.Headers) -> None:
+    del headers
+
+
 @dataclasses.dataclass(frozen=True)
 class HeaderDialect:
     """Hold header names, in lower case, and response header functions.
@@ -76,6 +80,9 @@
     rate_limit_of: Callable[[messages.Headers], float | None] = (
         _default_rate_limit_of
     )
+    # For how long the server says that it is cold, in seconds; None if it
+    # does not say, or the header is malformed.
+    cold_s_of: Callable[[messages.Headers], float | None] = _no_cold_time
     # Whether the server is about to stop and takes no more requests.
     is_leaving: Callable[[messages.Headers], bool] = _default_is_leaving
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -79,6 +79,15 @@
     ('empty', [(b'server-limit', b'')], None),
     ('too many digits', [(b'server-limit', b'1' * 400)], None),
 ]
+COLD_TIMES = [
+    ('missing', [ID], None),
+    ('cold', [(b'jayflow-cold-ms', b'1500')], 1.5),
+    ('warm', [(b'jayflow-cold-ms', b'0')], 0.0),
+    ('negative', [(b'jayflow-cold-ms', b'-1')], None),
+    ('fraction', [(b'jayflow-cold-ms', b'1.5')], None),
+    ('empty', [(b'jayflow-cold-ms', b'')], None),
+    ('too many digits', [(b'jayflow-cold-ms', b'1' * 400)], None),
+]
 FIGURES = st.text('0123456789,.;-+eE infa\u0661 ', max_size=24) | st.builds(
     lambda digits, count: digits * count,
     st.sampled_from(['1', '9,', '0.1', '-7']),
@@ -111,6 +120,7 @@
                 b'jayflow-server-load',
                 b'server-limit',
                 b'server-leaving',
+                b'jayflow-cold-ms',
                 b'retry-after',
                 b'etag',
                 b'content-length',
@@ -128,6 +138,8 @@
             self.assertTrue(math.isfinite(report.slowness))
         headers.rate_limit_of(rows)
         headers.is_leaving(rows)
+        cold_s = headers.cold_s_of(rows)
+        self.assertTrue(cold_s is None or 0 <= cold_s < math.inf)
         headers.classify(200, rows)
         http_headers.decimal_of(rows, b'retry-after')
 
@@ -136,6 +148,11 @@
             with self.subTest(title):
                 self.assertEqual(expected, headers.rate_limit_of(rows))
 
+    def test_times_for_which_a_server_is_cold_are_decoded(self):
+        for title, rows, expected in COLD_TIMES:
+            with self.subTest(title):
+                self.assertEqual(expected, headers.cold_s_of(rows))
+
     def test_a_leaving_server_is_recognized(self):
         for value, expected in ((b'1', True), (b'0', False), (b'', False)):
             with self.subTest(value):
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -70,6 +70,9 @@
         self.assertEqual(
             (HEARTBEAT['born'], 4), (announced.born, announced.sequence)
         )
+        self.assertEqual(1.5, announced.cold_s)
+        warm = _changed('status', value={'state': 'ready', 'sequence': 5})
+        self.assertEqual(0.0, heartbeat.decode('i1', warm).cold_s)
         draining = _changed('status', 'state', value='draining')
         self.assertTrue(heartbeat.decode('i1', draining).draining)
 
--- a/tests/process/test_server_registration.py
+++ b/tests/process/test_server_registration.py
@@ -23,7 +23,14 @@
 def new_announcement(instance='i1', born=10, sequence=1, **changes):
     """Return an announcement."""
     return announcement.Announcement(
-        instance, ('s',), '127.0.0.1', 80, 4, born=born, sequence=sequence
+        instance,
+        ('s',),
+        '127.0.0.1',
+        80,
+        4,
+        born=born,
+        sequence=sequence,
+        **changes,
     )
 
 
@@ -127,6 +134,25 @@
                 is_used = registration.executor.backend.slots > 0
                 self.assertEqual(expected, is_used)
 
+    def test_a_node_restarted_beside_a_cold_server_took_it_for_warm(self):
+        # Title, cold rate, time of an announcement if any, and slowness.
+        for title, cold_rate, cold_s, expected in (
+            ('not told yet', 5.0, None, 2.0),
+            ('told that it is cold', 5.0, 3.0, 2.0),
+            ('told that it is warm', 5.0, 0.0, 1.0),
+            ('no cold rate', 0.0, None, 1.0),
+        ):
+            with self.subTest(title):
+                registration = self.build()
+                backend = registration.executor.backend
+                backend.cold_rate_of = lambda names, rate=cold_rate: rate
+                record = _member(services=('s',), slots=4)
+                registration.restore(record, SERVER)
+                if cold_s is not None:
+                    announced = new_announcement(cold_s=cold_s)
+                    asyncio.run(registration.announce(announced))
+                self.assertEqual(expected, backend.slowness())
+
     def test_a_record_without_slots_is_rejected(self):
         registration = self.build()
         with self.assertRaises(ValueError):
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -31,6 +31,8 @@
     'traffic_split',
     'path_prefix',
     'cold_remaining_s',
+    'jayflow-cold-ms',
+    'cold_per_s',
     'max_attempts',
     'store_revision',
     'allow_stale',
