--- a/tests/process/test_state_publishing.py
+++ b/tests/process/test_state_publishing.py
@@ -6,6 +6,7 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow.connection import sockets
+from jayflow.process import evacuations
 from jayflow.process import member_directory
 from jayflow.process import state_publishing
 from jayflow.request.decisions import routing
@@ -23,6 +24,7 @@
     ('slowness', {'slowness': 7.0}, 0.01, [NEAR, REGION]),
     ('the server drains', {'draining': True}, 0.01, ALL),
     ('configuration version', {'version': 2}, 0.01, ALL),
+    ('an evacuation', {'evacuated': ('dc',)}, 0.01, ALL),
 ]
 # Distance, mean time in service in s, subscribers, pause in s.
 PAUSES = [
@@ -103,12 +105,17 @@
         for title, change, after_s, expected in CHANGES:
             with self.subTest(title):
                 self.executor, self.version = FakeExecutor(), 1
+                self.publisher.evacuated = evacuations.Knowledge
                 self.publisher._executor = self.executor
                 for peer, distance in DISTANCES.items():
                     self.publisher.subscribe(peer, distance)
                 self.sent.clear()
                 self.now += after_s
                 self.version = change.pop('version', self.version)
+                evacuated = change.pop('evacuated', ())
+                self.publisher.evacuated = lambda names=evacuated: (
+                    evacuations.Knowledge(data_centres=names)
+                )
                 self.executor.values |= change
                 self.publisher.publish()
                 self.assertEqual(expected, self.sent)
