--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -11,6 +11,7 @@
 SERVER_LOAD = b'jayflow-server-load'
 SERVER_LIMIT = b'server-limit'
 SERVER_LEAVING = b'server-leaving'
+COLD_MS = b'jayflow-cold-ms'
 CALLER_SERVICE = b'jayflow-caller-service'
 CREDENTIAL = b'jayflow-credential'
 TENANT = b'jayflow-tenant'
@@ -26,6 +27,8 @@
 CONFIG_NAME = 'main'
 # The kind that jayflow itself writes, one object for each node.
 NODES_KIND = 'jayflow-nodes'
+# Written by the operator, one object for each evacuated data centre.
+EVACUATIONS_KIND = 'evacuations'
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -38,6 +38,8 @@
 # A node that is not a watcher first lists again after this time, because nodes
 # that start together write their objects within the first few seconds.
 FIRST_RELIST_DELAY_S = 3.0
+# A first object must be known everywhere within 5 s.
+UNKNOWN_PREFIX_RELIST_S = 3.0
 # Time for the members to write their records again after a restore.
 RESTORE_RECOVERY_S = 2.0
 
@@ -46,10 +48,10 @@
     """Apply the objects below a prefix of the platform, and their changes.
 
     The callbacks report what the node has to pass on: a member that the
-    platform doesn't list (with whether it has to read its record, as the one
-    that is listed may be old), a changed member, that calls succeed again
-    after failures, a new era of the platform, the objects of each list, and
-    the version that the platform held when a call was sent (by boot_clock).
+    platform doesn't list (with whether it must read its record, as the listed
+    one may be old), a changed member, that calls succeed again after failures,
+    a new era, the objects of each list, what each call has read, and the
+    version that the platform held when a call was sent (by boot_clock).
     """
 
     def __init__(
@@ -66,7 +68,10 @@
         batch_delay_s: float = 0.0,
         first_relist_delay_s: float = FIRST_RELIST_DELAY_S,
         watch_delay_s: float = 0.0,
+        watchers_only: bool = False,
     ) -> None:
+        self._watchers_only = watchers_only
+        self._created_at = time.monotonic()
         self._watch_timeout_s = watch_timeout_s
         self._batch_delay_s = batch_delay_s
         self._prefix = prefix
@@ -91,6 +96,7 @@
         self.on_confirmed: Callable[[int | None, float], None] = (
             lambda stored_version, sent_at: None
         )
+        self.on_read: Callable[[api.Read], None] = lambda read: None
         self._call_scope: anyio.CancelScope | None = None
         self._listed_at = -math.inf
         self._first_listed_at = math.inf
@@ -164,8 +170,12 @@
         """Return whether to call: as a watcher, or when a list is due.
 
         After its first list a node waits for watch_delay_s before it watches,
-        since it has not heard of the watchers yet.
+        since it has not heard of the watchers yet. If only watchers list the
+        prefix, it waits for that long after its start.
         """
+        if self._watchers_only:
+            age_s = now - self._created_at
+            return age_s >= self._watch_delay_s and self.is_watcher(now)
         if self._listed_at < 0:
             return True
         may_watch = now - self._first_listed_at >= self._watch_delay_s
@@ -196,11 +206,15 @@
             self._observe_era(listing.era)
             self._objects.forget_version()
             self._apply_listing(listing.entries)
+            self.on_read(listing)
             revision = listing.revision
             if self._listed_at >= 0:
                 self._relist_after_s = self._next_relist_s()
             self._listed_at = time.monotonic()
             self._first_listed_at = min(self._first_listed_at, self._listed_at)
+            if not listing.is_known:
+                await anyio.sleep(UNKNOWN_PREFIX_RELIST_S)
+                return None
         else:
             batch = await self._platform.watch(
                 self._prefix,
@@ -212,6 +226,7 @@
             is_unchanged = not batch.changes
             for change in batch.changes:
                 self._apply_change(change)
+            self.on_read(batch)
             revision = None if batch.unreadable else batch.revision
             if batch.changes:
                 await anyio.sleep(self._batch_delay_s)
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -62,6 +62,7 @@
         Field('crash-strikes', value_parsers.positive_int),
         Field('adaptive-slots', value_parsers.yes_or_no, False),
         Field('config-max-age', value_parsers.seconds),
+        Field('evacuations', value_parsers.yes_or_no, False),
     ),
     'platform': (
         Field('address', value_parsers.address, required=True),
@@ -125,6 +126,7 @@
     crash_strikes: int | None
     adaptive_slots: bool
     config_max_age: float | None
+    evacuations: bool
     platform: value_parsers.Address
     protocol: Protocol
     call_deadline: float
@@ -200,6 +202,7 @@
             crash_strikes=node['crash-strikes'],
             adaptive_slots=node['adaptive-slots'],
             config_max_age=node['config-max-age'],
+            evacuations=node['evacuations'],
             platform=platform['address'],
             protocol=platform['protocol'],
             max_pause=platform['max-pause'],
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -54,3 +54,7 @@
     config_age_s: float | None = None
     # Requests refused above the rate of their team, for the teams with most.
     team_refusals: dict[str, int] = {}
+    # Whether the server beside the node is cold.
+    cold: bool = False
+    evacuated: tuple[str, ...] = ()
+    evacuation_revision: int = 0
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -8,6 +8,7 @@
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.process import evacuations
 from jayflow.process import member_directory
 from jayflow.process import status as documents
 from jayflow.request.decisions import quarantine
@@ -39,6 +40,9 @@
         self._platform_age_s = platform_age_s
         self._link_statuses = link_statuses
         self._team_refusals = team_refusals
+        self.evacuated: Callable[[], evacuations.Knowledge] = (
+            evacuations.Knowledge
+        )
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -54,6 +58,8 @@
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
+                'server_cold': rate_limit.cold.is_cold(time.monotonic()),
+                'evacuated_data_centres': len(self.evacuated().data_centres),
                 **self._config_age_gauge(),
             }
             | {
@@ -69,6 +75,7 @@
         announced = self._executor.backend.announcement
         quarantine_set = self._executor.crash_tracker.quarantine
         age_s = self._platform_age_s(now)
+        evacuated = self.evacuated()
         return msgspec.json.encode(
             documents.NodeStatus(
                 node=self._directory.node,
@@ -96,6 +103,9 @@
                 counters=dict(self._metrics.counters),
                 config_age_s=self._config_age_s(),
                 team_refusals=self._team_refusals(),
+                cold=self._executor.backend.cold.is_cold(now),
+                evacuated=evacuated.data_centres,
+                evacuation_revision=evacuated.position.revision,
             )
         )
 
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -96,6 +96,7 @@
         ] = self.drain_server
         self.link_budget_for: LinkBudgetFor = _no_link_budget
         self.is_stopping = False
+        self.is_evacuated = False
         self._metrics = metrics
         self._clock = clock
         self._log = logs.get_logger(logs.Component.EXECUTOR)
@@ -156,9 +157,21 @@
             self._observe_server(
                 announced.incarnation, headers, may_end_limit=False
             )
+            if self.backend.incarnation == announced.incarnation:
+                self.backend.observe_cold(headers)
+                self._check_cold()
             if self.dialect.is_leaving(headers):
                 self.on_server_leaving(announced.incarnation)
 
+    def _check_cold(self) -> None:
+        """Report at once that the server has turned cold or warm."""
+        if not self.backend.has_cold_changed():
+            return
+        if self.backend.cold.is_cold(self._clock()):
+            self._metrics.count_event(metrics_module.Event.SERVER_COLD)
+        self.on_slowness_change()
+        self._start_queued()
+
     def _observe_server(
         self,
         server: messages.ServerIncarnation,
@@ -187,6 +200,7 @@
             self.on_state_change()
         if server_announcement.draining:
             self._refuse_queued(Reason.DRAINING)
+        self._check_cold()
 
     def restore_server(
         self, server_announcement: announcement.Announcement, valid_s: float
@@ -208,7 +222,7 @@
         ):
             return False
         self.apply_announcement(
-            msgspec.structs.replace(announced, draining=True)
+            msgspec.structs.replace(announced, draining=True, cold_s=None)
         )
         return True
 
@@ -233,6 +247,15 @@
         self._refuse_queued(Reason.NODE_STOPPING)
         self.on_state_change()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Refuse new and queued attempts while the data centre is evacuated.
+
+        Running ones continue.
+        """
+        self.is_evacuated = is_evacuated
+        if is_evacuated:
+            self._refuse_queued(Reason.EVACUATED)
+
     async def wait_idle(self) -> None:
         """Wait until no request is running or queued."""
         while self._jobs:
@@ -334,6 +357,8 @@
             return Reason.NOT_SERVED_HERE
         if server_announcement.draining:
             return Reason.DRAINING
+        if self.is_evacuated:
+            return Reason.EVACUATED
         if start.remaining_ms <= 0:
             return Reason.DEADLINE
         return None
@@ -358,7 +383,7 @@
             start.rank,
             now + min(wait_s, max_wait_s),
             Reason.RATE_LIMIT
-            if self.backend.rate_limit.is_limited
+            if self.backend.rate_limit.is_binding
             else Reason.QUEUE_TIME,
             job.is_exclusive,
             start.slot_share,
@@ -638,7 +663,8 @@
         for queued_request in self._admission_queue.remove_expired(now):
             job = self._jobs.pop(queued_request.item)
             self._refuse(job.start, queued_request.reason, job.reply)
-        if self.backend.rate_limit.is_limited:
+        self._check_cold()
+        if self.backend.rate_limit.is_binding:
             self._start_queued()
         for job in list(self._jobs.values()):
             if job.is_overdue(now):
