Make fewer calls at the start and subscribe to fewer servers far away

Change: the first watches wait for 1.5 s, evacuations are watched 3.6 s after the start, a node reads the version itself above 3.2 s of age, and a subset has 2 remote members, or 6 if it has no others. Not measured by itself.

--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -22,6 +22,9 @@
 # Nodes that start together list each other FIRST_RELIST_DELAY_S after their
 # start and have heard from each other a second later.
 MEMBER_WATCH_DELAY_S = platform_watchers.FIRST_RELIST_DELAY_S + 1.0
+# Most nodes of a fleet that starts have heard of the watchers by then; a
+# standing evacuation must be known again within 5 s of a restart of all.
+EVACUATION_WATCH_DELAY_S = platform_watchers.FIRST_RELIST_DELAY_S + 0.6
 
 METADATA_STORE = environment.Environment(
     dialect=headers.DIALECT,
@@ -45,7 +48,7 @@
         # change may take.
         environment.WatchedPrefix(
             evacuations.KEY_PREFIX,
-            watch_delay_s=platform_watchers.FIRST_RELIST_DELAY_S,
+            watch_delay_s=EVACUATION_WATCH_DELAY_S,
             watchers_only=True,
         ),
     ),
--- a/jayflow/process/config_age.py
+++ b/jayflow/process/config_age.py
@@ -126,6 +126,9 @@
         """Return whether a key may belong to a version not yet known here."""
         return self.is_enabled and self.age_s() > config_age.OVERDUE_AGE_S
 
+    def _is_read_due(self) -> bool:
+        return self.is_enabled and self.age_s() > config_age.READ_AGE_S
+
     def confirm(self, stored_version: int | None, sent_at: float) -> None:
         """Record the version that a call to the store showed as the newest.
 
@@ -174,7 +177,7 @@
         view = self._choose_peer()
         if view is not None:
             await self._query(view)
-        if self.may_lack_keys() and not self._is_reading:
+        if self._is_read_due() and not self._is_reading:
             self._is_reading = True
             tasks.start_soon(self._read_until_recent)
 
@@ -250,7 +253,7 @@
         """Read the version from the store while its age is too high."""
         failures = useless = 0
         try:
-            while self.may_lack_keys():
+            while self._is_read_due():
                 sent_at = self.clock()
                 self._metrics.count_event(metrics_module.Event.CONFIG_AGE_READ)
                 try:
@@ -274,5 +277,5 @@
 
     async def _wait_recent(self, until: float) -> None:
         """Wait until a time, or until the age is low again."""
-        while self.may_lack_keys() and self.clock() < until:
+        while self._is_read_due() and self.clock() < until:
             await anyio.sleep(min(QUERY_INTERVAL_S, until - self.clock()))
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -40,6 +40,7 @@
 FIRST_RELIST_DELAY_S = 3.0
 # A first object must be known everywhere within 5 s.
 UNKNOWN_PREFIX_RELIST_S = 3.0
+FIRST_WATCHES_WAIT_S = 1.5
 # Time for the members to write their records again after a restore.
 RESTORE_RECOVERY_S = 2.0
 
@@ -189,6 +190,16 @@
             return False
         return True
 
+    def _watch_wait_s(self, now: float) -> float:
+        """Return how long to let a watch wait.
+
+        All nodes of a fleet that starts watch until they hear of each other,
+        so the first watches wait for longer.
+        """
+        if now - self._first_listed_at < FIRST_RELIST_DELAY_S:
+            return max(self._watch_timeout_s, FIRST_WATCHES_WAIT_S)
+        return self._watch_timeout_s
+
     def _next_relist_s(self) -> float:
         """Return the time until the next list of a node that doesn't watch."""
         for_members_s = RELIST_S_PER_MEMBER * len(self._directory.peer_views())
@@ -219,7 +230,7 @@
             batch = await self._platform.watch(
                 self._prefix,
                 revision,
-                min(self._watch_timeout_s, until_recheck_s),
+                min(self._watch_wait_s(time.monotonic()), until_recheck_s),
             )
             if self._observe_era(batch.era):
                 return None
--- a/jayflow/process/subset.py
+++ b/jayflow/process/subset.py
@@ -22,7 +22,10 @@
 MAX_DATA_CENTRE_MEMBERS = 6
 # A subset has at least this many members in other regions, which take the
 # load that those in the node's own region can't.
-MIN_OTHER_REGION_MEMBERS = 3
+MIN_OTHER_REGION_MEMBERS = 2
+# A subset whose members are all in other regions is smaller, since what they
+# publish is billed by volume.
+REMOTE_SUBSET_SIZE = 6
 # The first nodes of a region in the order of the watcher election, so that
 # every node subscribes to those that may watch the platform for its region.
 SAME_REGION_SOURCES = 4
@@ -47,6 +50,8 @@
     load that the data centre can't.
     """
     near, region, remote = _split_by_distance(node, views)
+    if not near and not region:
+        return remote[:REMOTE_SUBSET_SIZE]
     remote_count = min(
         len(remote),
         max(MIN_OTHER_REGION_MEMBERS, SUBSET_SIZE - len(near) - len(region)),
--- a/jayflow/request/decisions/config_age.py
+++ b/jayflow/request/decisions/config_age.py
@@ -18,9 +18,11 @@
 QUERY_AGE_S = 1.0
 # A peer whose last answer was older than this is queried after the others.
 USEFUL_AGE_S = 1.5
-# Above this age, a node reads the version from the store itself, and an
-# unknown key may belong to a version that the node does not hold yet.
+# Above this age, an unknown key may belong to a version that the node does not
+# hold yet.
 OVERDUE_AGE_S = 2.5
+# Above this age, a node reads the version from the store itself.
+READ_AGE_S = 3.2
 # How long a peer that did not answer is not queried.
 SILENT_PEER_S = 2.0
 
