--- a/tests/request/test_faulty_figures.py
+++ b/tests/request/test_faulty_figures.py
@@ -39,6 +39,12 @@
     ('status of 999', b'999 OK\r\n' + SIGNED, False),
     ('status of 600', b'600 OK\r\n' + SIGNED, False),
     ('status of 0', b'000 OK\r\n' + SIGNED, False),
+    ('status of 99', b'099 OK\r\n' + SIGNED, False),
+    ('status of two digits', b'20 OK\r\n' + SIGNED, False),
+    ('status of four digits', b'2000 OK\r\n' + SIGNED, False),
+    ('status of letters', b'abc OK\r\n' + SIGNED, False),
+    ('negative status', b'-20 OK\r\n' + SIGNED, False),
+    ('no status', b'OK\r\n' + SIGNED, False),
 ]
 
 
