--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -343,22 +343,29 @@
         return self.start_nodes(1, data_centre, stop_limit)[0]
 
     def start_nodes(
-        self, count: int, data_centre: str = 'dc1', stop_limit: str = '30 s'
+        self,
+        count: int,
+        data_centre: str = 'dc1',
+        stop_limit: str = '30 s',
+        template: str = SETTINGS_TEMPLATE,
     ) -> list[Node]:
         """Start nodes concurrently and wait until all answer."""
         nodes = [
-            self._launch_node(data_centre, stop_limit) for _ in range(count)
+            self._launch_node(data_centre, stop_limit, template)
+            for _ in range(count)
         ]
         for node in nodes:
             wait_until(node.has_started, NODES_START_TIMEOUT_S)
         return nodes
 
-    def _launch_node(self, data_centre: str, stop_limit: str) -> Node:
+    def _launch_node(
+        self, data_centre: str, stop_limit: str, template: str
+    ) -> Node:
         name = f'n{next(self._numbers)}'
         http_port, peer, announce = reserve_ports(3)
         settings = self.folder / f'{name}.ini'
         settings.write_text(
-            SETTINGS_TEMPLATE.format(
+            template.format(
                 name=name,
                 data_centre=data_centre,
                 host=HOST,
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -87,6 +87,10 @@
         Field('statsd', value_parsers.address),
         Field('address', value_parsers.address),
     ),
+    'limits': (
+        Field('memory-mb', value_parsers.positive_int),
+        Field('max-descriptors', value_parsers.positive_int),
+    ),
 }
 REGIONS_SECTION = 'regions'
 REQUIRED_SECTIONS = ('node', 'platform')
@@ -131,6 +135,8 @@
     log_level: logs.Level
     statsd: value_parsers.Address | None
     metrics: value_parsers.Address | None
+    memory_mb: int | None
+    max_descriptors: int | None
     file: pathlib.Path | None = None
 
     @classmethod
@@ -204,6 +210,8 @@
             log_level=values['logs']['level'],
             statsd=values['metrics']['statsd'],
             metrics=values['metrics']['address'],
+            memory_mb=values['limits']['memory-mb'],
+            max_descriptors=values['limits']['max-descriptors'],
         )
 
 
--- /dev/null
+++ b/tests/process/uncontrolled_clients.py
@@ -0,0 +1,171 @@
+"""Open many client connections that ignore all limits, for the tests.
+
+A crowd runs on an event loop of its own, in the process of the test.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import socket
+
+from bench import local_cluster
+
+SPAN_S = 2.5
+POLL_INTERVAL_S = 0.05
+# How many bytes one client sends at most.
+MAX_SENT_BYTES = 4 * 1024 * 1024
+RECEIVE_BUFFER_BYTES = 4096
+# How often a slow client sends or reads.
+SLOW_INTERVAL_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Pattern:
+    """Describe what each client of a crowd does.
+
+    A client sends `first`, then repeats `rest`. It reads nothing unless
+    `reads_slowly`. With `is_slow` it sends `rest` once per interval. With
+    `returns` it closes its connection at once and opens another.
+    """
+
+    first: bytes = b''
+    rest: bytes = b''
+    reads_slowly: bool = False
+    is_slow: bool = False
+    returns: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Peak:
+    """Hold the most memory and descriptors that a process had."""
+
+    memory_bytes: int
+    descriptors: int
+
+
+class _Client(asyncio.Protocol):
+    def __init__(self, pattern: Pattern) -> None:
+        self._pattern = pattern
+        self._sent_bytes = 0
+        self._is_writable = True
+        self._is_scheduled = False
+        self._loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.pause_reading()
+        transport.write(self._pattern.first)
+        if self._pattern.reads_slowly:
+            self._read_later()
+        self._send_later()
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.pause_reading()
+        self._read_later()
+
+    def pause_writing(self) -> None:
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        self._is_writable = True
+        self._send_later()
+
+    def _read_later(self) -> None:
+        self._loop.call_later(SLOW_INTERVAL_S, self._read)
+
+    def _read(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _send_later(self) -> None:
+        if self._pattern.rest and not self._is_scheduled:
+            self._is_scheduled = True
+            delay_s = SLOW_INTERVAL_S if self._pattern.is_slow else 0.0
+            self._loop.call_later(delay_s, self._send)
+
+    def _send(self) -> None:
+        self._is_scheduled = False
+        if self.transport.is_closing() or not self._is_writable:
+            return
+        if self._sent_bytes < MAX_SENT_BYTES:
+            self._sent_bytes += len(self._pattern.rest)
+            self.transport.write(self._pattern.rest)
+            self._send_later()
+
+
+def run_crowd(
+    pattern: Pattern, ports: list[int], count: int, pid: int
+) -> Peak:
+    """Let clients connect to the ports in turn; return the process's peak."""
+    return asyncio.run(_run_crowd(pattern, ports, count, pid))
+
+
+async def _run_crowd(
+    pattern: Pattern, ports: list[int], count: int, pid: int
+) -> Peak:
+    tasks = [
+        asyncio.create_task(_run_client(pattern, ports[index % len(ports)]))
+        for index in range(count)
+    ]
+    descriptors = 0
+    until = asyncio.get_running_loop().time() + SPAN_S
+    while asyncio.get_running_loop().time() < until:
+        descriptors = max(descriptors, _descriptor_count(pid))
+        await asyncio.sleep(POLL_INTERVAL_S)
+    memory_bytes = _peak_memory_bytes(pid)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return Peak(memory_bytes, descriptors)
+
+
+async def _run_client(pattern: Pattern, port: int) -> None:
+    """Keep one connection open until cancelled, or reconnect for ever."""
+    loop = asyncio.get_running_loop()
+    while True:
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        try:
+            await loop.sock_connect(sock, (local_cluster.HOST, port))
+            transport, _ = await loop.create_connection(
+                lambda: _Client(pattern), sock=sock
+            )
+        except OSError:
+            sock.close()
+            await asyncio.sleep(SLOW_INTERVAL_S)
+            continue
+        except asyncio.CancelledError:
+            sock.close()
+            raise
+        try:
+            if not pattern.returns:
+                await loop.create_future()
+            await asyncio.sleep(0)
+        finally:
+            transport.abort()
+
+
+def _peak_memory_bytes(pid: int) -> int:
+    """Return the peak of the resident memory, 0 if the process has ended."""
+    for line in _read_status(pid).splitlines():
+        if line.startswith('VmHWM:'):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+def _read_status(pid: int) -> str:
+    try:
+        return pathlib.Path(f'/proc/{pid}/status').read_text(encoding='utf-8')
+    except OSError:
+        return ''
+
+
+def _descriptor_count(pid: int) -> int:
+    try:
+        return sum(1 for _ in pathlib.Path(f'/proc/{pid}/fd').iterdir())
+    except OSError:
+        return 0
