Keep the crowds' ordinary request independent of the machine's speed

Cause: the ordinary request had a deadline of 2 s, and got 504 once with the new code at a load of 19. A server that has not responded yet runs 4 requests at once, so nearly all large responses were refused and the case passed.

Change: deadline and try time-out of the requests are 30 s, both services get one request before the crowds, and a case adds large responses of a policy that is not bulk. Crowd and bounds are as they were.

--- a/tests/process/test_uncontrolled_clients.py
+++ b/tests/process/test_uncontrolled_clients.py
@@ -24,6 +24,11 @@
 LARGE_CROWD = 600
 # Each of these connections was seen to take tens of MB.
 SMALL_CROWD = 4
+# The ordinary request must not depend on the speed of the machine.
+OBJECTS_INI = local_cluster.OBJECTS_INI.replace(
+    'deadline = 2 s\ntry-timeout = 500 ms',
+    'deadline = 30 s\ntry-timeout = 30 s',
+)
 CALLERS = ('callers',)
 READY = ('ready',)
 ALL = ('callers', 'ready', 'announcements', 'metrics')
@@ -99,6 +104,15 @@
         ),
         CALLERS,
     ),
+    # Nearly all of them run at once, other than those of the class bulk.
+    Case(
+        'large responses, interactive',
+        Pattern(
+            b'GET /lookup/x?bytes=50000000 HTTP/1.1\r\n' + HOST + b'\r\n',
+            reads_slowly=True,
+        ),
+        CALLERS,
+    ),
     Case('clients that return', Pattern(GET, returns=True), crowd=LARGE_CROWD),
 ]
 
@@ -124,7 +138,11 @@
         cls.cluster.start_server(
             cls.cluster.start_node(), 'packs', '--slots', str(CROWD)
         )
-        cls.cluster.publish()
+        cls.cluster.publish(OBJECTS_INI)
+        # A server that has not responded yet runs only a few requests at once.
+        cls.cluster.wait_for_servers(2)
+        for path in ('/lookup/x', '/packs/x'):
+            local_cluster.send_request(node.http_port, path)
 
     def test_trailers_without_end_filled_the_memory(self):
         self._check(TRAILERS)
