Share the parts that are on their way among the open responses

Cause: each response had four parts of 64 KB on their way, whatever the number of responses. 150 large responses that were read slowly took 100 MB.

Change: Start names the window, 1 to 4 parts; it grows or shrinks with the number of responses that are being passed on. Credit is granted after a part was passed on, so a caller that does not read holds it back. Without a bound on memory the window is 4 parts as before.

--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -11,6 +11,7 @@
 
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.request import response_windows
 
 
 class PeerChannel(Protocol):
@@ -46,8 +47,10 @@
         attempt: messages.AttemptId,
         channel: PeerChannel,
         on_close: Callable[[Self], None],
+        window: response_windows.ResponseWindow,
     ) -> None:
         self.attempt = attempt
+        self.window = window
         self.channel = channel
         self._on_close = on_close
         self._messages: collections.deque = collections.deque()
@@ -62,6 +65,7 @@
 
     def close(self) -> None:
         """Close the exchange; later messages are dropped."""
+        self.window.close()
         self._on_close(self)
 
     async def next_message(self, timeout_s: float):
@@ -88,7 +92,9 @@
         self,
         incarnation: messages.Incarnation,
         metrics: metrics_module.Metrics,
+        windows: response_windows.ResponseWindows | None = None,
     ) -> None:
+        self._windows = windows or response_windows.ResponseWindows()
         self._incarnation = incarnation
         self._metrics = metrics
         self._last_sequence = 0
@@ -105,7 +111,10 @@
     def open(self, channel: PeerChannel) -> Exchange:
         """Open the exchange of a new attempt."""
         attempt = self.new_attempt_id()
-        exchange = Exchange(attempt, channel, self._close)
+        window = response_windows.ResponseWindow(
+            self._windows, len(self._open_exchanges) + 1
+        )
+        exchange = Exchange(attempt, channel, self._close, window)
         self._open_exchanges[attempt] = exchange
         return exchange
 
