Bound what all client connections of a node hold

Change: a registry of the connections of all addresses closes idle ones, then the largest, at bounds that follow from memory-mb and max-descriptors. No request is read while an answer can't be written or while requests sent ahead wait; those start one per turn of the event loop.

--- a/jayflow/logs.py
+++ b/jayflow/logs.py
@@ -53,6 +53,7 @@
     PLATFORM = 'platform'
     KEYS = 'keys'
     BACKEND = 'backend'
+    CLIENTS = 'clients'
 
 
 class NonBlockingLogger:
--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -61,6 +61,9 @@
     KEY_CLAIMED = 'key_claimed'
     KEY_REPLAYED = 'key_replayed'
     KEY_CONFLICT = 'key_conflict'
+    CLOSED_AT_CONNECTIONS = 'closed_at_connections'
+    CLOSED_AT_BYTES = 'closed_at_bytes'
+    CLOSED_UNREAD = 'closed_unread'
 
 
 class Metrics:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -16,6 +16,8 @@
 import anyio.abc
 import zmq
 
+from jayflow.connection import connection_limits
+from jayflow.connection import connection_registry
 from jayflow.connection import http_server
 from jayflow.connection import link_budget
 from jayflow.connection import member as members
@@ -56,6 +58,7 @@
 from jayflow.request import outcome
 from jayflow.request import planned_stop
 from jayflow.request import problem
+from jayflow.request import response_windows
 from jayflow.version import objects
 from jayflow.version import snapshot
 from jayflow.version import value_parsers
@@ -118,6 +121,12 @@
         self._live = live_settings.LiveSettings(cfg)
         self._log = logs.get_logger(logs.Component.NODE)
         self._metrics = metrics_module.Metrics.from_address(cfg.statsd)
+        self._connections = connection_registry.ConnectionRegistry(
+            connection_limits.ConnectionLimits.from_resources(
+                cfg.memory_mb, cfg.max_descriptors
+            ),
+            self._metrics,
+        )
         self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
         self.incarnation = messages.Incarnation(
             secrets.randbits(INCARNATION_BITS)
@@ -137,7 +146,11 @@
             is_adaptive=cfg.adaptive_slots,
         )
         self._exchange_table = exchanges.ExchangeTable(
-            self.incarnation, self._metrics
+            self.incarnation,
+            self._metrics,
+            response_windows.ResponseWindows(
+                self._connections.limits.response_window_bytes
+            ),
         )
         self._local = _LocalChannel(
             self._executor, self._exchange_table.deliver
@@ -281,6 +294,7 @@
             self._metrics,
             self._platform_age_s,
             self._link_budgets.status,
+            self._connections,
         )
         create_version_decoder = environment.create_version_decoder
         self._message_router = message_router.MessageRouter(
@@ -330,12 +344,16 @@
             *self._cfg.http,
             self._bad_request,
             lambda: self._active_version.current.objects.limits,
+            self._connections,
         )
         control_app = self._environment.create_control_app(
             self._cfg, self._registration, self._status_reporter.status
         )
         announcement_server = http_server.create(
-            control_app, *self._cfg.announce, self._bad_request
+            control_app,
+            *self._cfg.announce,
+            self._bad_request,
+            registry=self._connections,
         )
         async with anyio.create_task_group() as tasks:
             self._message_router.tasks = tasks
@@ -497,7 +515,9 @@
                 )
 
     async def _serve(self, app, address: value_parsers.Address) -> None:
-        await http_server.create(app, *address, self._bad_request).serve()
+        await http_server.create(
+            app, *address, self._bad_request, registry=self._connections
+        ).serve()
 
     @property
     def _is_ready(self) -> bool:
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -88,8 +88,8 @@
         Field('address', value_parsers.address),
     ),
     'limits': (
-        Field('memory-mb', value_parsers.positive_int),
-        Field('max-descriptors', value_parsers.positive_int),
+        Field('memory-mb', value_parsers.non_negative_number),
+        Field('max-descriptors', value_parsers.non_negative_number),
     ),
 }
 REGIONS_SECTION = 'regions'
@@ -135,8 +135,8 @@
     log_level: logs.Level
     statsd: value_parsers.Address | None
     metrics: value_parsers.Address | None
-    memory_mb: int | None
-    max_descriptors: int | None
+    memory_mb: float | None
+    max_descriptors: float | None
     file: pathlib.Path | None = None
 
     @classmethod
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -32,6 +32,19 @@
     measuring_peak: int
 
 
+class ConnectionStatus(msgspec.Struct, frozen=True):
+    """Hold the client connections of all addresses, and their limits.
+
+    Bytes are an estimate of what the connections make the node keep.
+    """
+
+    open: int
+    idle: int
+    held_bytes: int
+    max_open: int
+    max_held_bytes: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Hold the status of one node; ages in seconds."""
 
@@ -51,3 +64,4 @@
     platform_age_s: float | None
     members: tuple[MemberStatus, ...]
     counters: dict[str, int]
+    connections: ConnectionStatus | None = None
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from jayflow.connection import connection_registry
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
@@ -28,6 +29,7 @@
         metrics: metrics_module.Metrics,
         platform_age_s: Callable[[float], float],
         link_statuses: Callable[[], tuple[documents.LinkStatus, ...]],
+        connections: connection_registry.ConnectionRegistry,
     ) -> None:
         self._directory = directory
         self._active_version = active_version
@@ -35,6 +37,7 @@
         self._metrics = metrics
         self._platform_age_s = platform_age_s
         self._link_statuses = link_statuses
+        self._connections = connections
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -50,6 +53,8 @@
                 'door_slots': load.slots,
                 'server_slowness': load.slowness,
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
+                'connections': len(self._connections),
+                'connections_held_bytes': self._connections.held_bytes,
             }
         )
 
@@ -85,9 +90,20 @@
                     for member in self._directory.known_members()
                 ),
                 counters=dict(self._metrics.counters),
+                connections=self._connection_status(),
             )
         )
 
+    def _connection_status(self) -> documents.ConnectionStatus:
+        limits = self._connections.limits
+        return documents.ConnectionStatus(
+            open=len(self._connections),
+            idle=self._connections.idle_count,
+            held_bytes=self._connections.held_bytes,
+            max_open=limits.connections,
+            max_held_bytes=limits.held_bytes,
+        )
+
     def _member_status(
         self, member: members.Member, now: float
     ) -> documents.MemberStatus:
--- /dev/null
+++ b/tests/connection/test_connection_registry.py
@@ -0,0 +1,126 @@
+"""Check which client connections are closed at the bounds on their sum.
+
+Each connection had its own limits, but nothing bounded all of them together.
+"""
+
+import asyncio
+import unittest
+
+from jayflow.connection import connection_limits
+from jayflow.connection import connection_registry
+from jayflow.connection import turn_queue
+from jayflow import metrics as metrics_module
+
+KB = 1024
+MB = 1024 * KB
+# memory-mb, max-descriptors, connections and held megabytes.
+LIMIT_CASES = [
+    (200, 4100, 2600, 102),
+    (80, 500, 200, 12),
+    (64, 256, 37, 8),
+    (16, 100, 16, 2),
+    (256.5, 1000.0, 533, 144.375),
+]
+# Title, limits on connections and bytes, connections as (name, held bytes, is
+# idle), and the names of those that are closed, in this order.
+CLOSE_CASES = [
+    (
+        'longest idle first',
+        (2, MB),
+        [('a', 1, True), ('b', 1, True), ('c', 1, True)],
+        ['a'],
+    ),
+    (
+        'idle before a larger busy one',
+        (2, MB),
+        [('a', 9, False), ('b', 1, True), ('c', 1, True)],
+        ['b'],
+    ),
+    (
+        'largest busy one',
+        (3, MB),
+        [('a', 1, False), ('b', 9, False), ('c', 5, False), ('d', 1, True)],
+        ['b'],
+    ),
+    (
+        'bytes: idle before busy',
+        (9, 100),
+        [('a', 60, False), ('b', 20, True), ('c', 30, False)],
+        ['b'],
+    ),
+    (
+        'bytes: largest first, until they fit',
+        (9, 100),
+        [('a', 20, False), ('b', 40, False), ('c', 50, False)],
+        ['c'],
+    ),
+    ('at the limits', (2, 100), [('a', 50, False), ('b', 50, True)], []),
+]
+
+
+class FakeConnection:
+    """Record the closing of a connection."""
+
+    client_host = '127.0.0.1'
+    held_bytes = 0
+
+    def __init__(self, name, closed):
+        self.name = name
+        self._closed = closed
+
+    def abort(self):
+        self._closed.append(self.name)
+
+    def is_unread(self):
+        return False
+
+
+class LimitsTest(unittest.TestCase):
+    def test_limits_follow_from_the_resources(self):
+        for memory_mb, descriptors, connections, held_mb in LIMIT_CASES:
+            with self.subTest(memory_mb):
+                limits = connection_limits.ConnectionLimits.from_resources(
+                    memory_mb, descriptors
+                )
+                self.assertEqual(connections, limits.connections)
+                self.assertEqual(held_mb * MB, limits.held_bytes)
+
+    def test_a_node_without_settings_had_low_limits(self):
+        limits = connection_limits.ConnectionLimits.from_resources()
+        self.assertGreater(limits.connections, 10**6)
+        self.assertGreater(limits.held_bytes, 2**39)
+
+
+class RegistryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_wrong_connection_was_closed_at_a_bound(self):
+        for title, limits, rows, expected in CLOSE_CASES:
+            with self.subTest(title):
+                closed = []
+                metrics = metrics_module.Metrics()
+                registry = connection_registry.ConnectionRegistry(
+                    connection_limits.ConnectionLimits(*limits), metrics
+                )
+                for name, held_bytes, is_idle in rows:
+                    connection = FakeConnection(name, closed)
+                    registry.add(connection)
+                    registry.update(connection, held_bytes, is_idle)
+                self.assertEqual(expected, closed)
+                self.assertEqual(len(rows) - len(closed), len(registry))
+                self.assertEqual(
+                    sum(row[1] for row in rows if row[0] not in closed),
+                    registry.held_bytes,
+                )
+                self.assertEqual(len(closed), metrics.counters.total())
+
+
+class TurnQueueTest(unittest.IsolatedAsyncioTestCase):
+    async def test_all_waiting_requests_started_in_one_turn(self):
+        started, seen = [], []
+        queue = turn_queue.TurnQueue()
+        for number in range(3):
+            queue.add(lambda number=number: started.append(number))
+        while len(started) < 3:
+            await asyncio.sleep(0)
+            seen.append(len(started))
+        self.assertEqual([0, 1, 2], started)
+        self.assertEqual([1, 2, 3], seen)
--- a/tests/platform/test_node_template.py
+++ b/tests/platform/test_node_template.py
@@ -26,6 +26,8 @@
     'bounds.grace_s': '6',
     'bounds.retry_budget_ratio': '0.2',
     'bounds.retry_budget_slack': '62',
+    'limits.memory_mb': '200',
+    'limits.max_fds': '4100',
 }
 ZONES = {'cdmx-a': 'mx-centro', 'mty-a': 'mx-norte'}
 _SECTION = re.compile(r'\{\{#zones\}\}(.*?)\{\{/zones\}\}', re.DOTALL)
@@ -43,6 +45,13 @@
     ('bounds.grace_s', '0', 'stop_limit', 0.0),
     ('bounds.grace_s', '6.5', 'stop_limit', 6.5),
     ('bounds.grace_s', '1e1', 'stop_limit', 10.0),
+    ('limits.memory_mb', '200', 'memory_mb', 200.0),
+    ('limits.memory_mb', '256.5', 'memory_mb', 256.5),
+    ('limits.memory_mb', '2e2', 'memory_mb', 200.0),
+    ('limits.memory_mb', '0', 'memory_mb', 0.0),
+    ('limits.max_fds', '4100', 'max_descriptors', 4100.0),
+    ('limits.max_fds', '4100.0', 'max_descriptors', 4100.0),
+    ('limits.max_fds', '0', 'max_descriptors', 0.0),
 ]
 
 
