Parse many lines over many turns of the event loop

Cause: 64 KB of chunks of one byte take some 10 ms to parse. 100 connections that sent them without end left no time for other callers.

Change: bytes with more than 256 lines or 16 heads are parsed 4 KB at a time, by one connection in each turn.

--- a/jayflow/connection/http_heads.py
+++ b/jayflow/connection/http_heads.py
@@ -29,6 +29,7 @@
     _field_count = 0
     _bytes_without_body = 0
     _is_reading_head = True
+    _is_chunked = False
     _is_too_large = False
     # Nothing more is parsed after a malformed request.
     _is_ended = False
@@ -84,6 +85,9 @@
         self._stop_head_timer()
         self._is_reading_head = False
         self._received_head_bytes = 0
+        self._is_chunked = any(
+            name == b'transfer-encoding' for name, _ in self.headers
+        )
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -26,6 +26,11 @@
 # some 10 KB, whatever its own size.
 MAX_PIPELINED = 16
 PIPELINED_SLICE_BYTES = 512
+# Bytes with more lines than this are parsed a little per turn of the event
+# loop: 64 KB of requests or of chunks of one byte take 10 ms and more.
+MAX_LINES_AT_ONCE = 256
+PARSED_BYTES_PER_TURN = 4096
+LINE_END = b'\r\n'
 # The parser accepts no other end of a head.
 HEAD_END = b'\n\r\n'
 # Estimates of the memory that a connection, a request and a header take
@@ -63,6 +68,7 @@
     # The request that starts at the connection's next turn.
     _next: tuple | None = None
     _is_continuing = False
+    _has_turn = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
@@ -105,7 +111,7 @@
         if self._unparsed:
             self._unparsed = self._unparsed[self._parsed_bytes :] + data
             self._parsed_bytes = 0
-        elif data.count(HEAD_END) > MAX_PIPELINED or self._is_next_head_held():
+        elif self._takes_turns(data) or self._is_next_head_held():
             self._unparsed = data
         else:
             self._parse(data)
@@ -144,9 +150,23 @@
             (cycle, app), self._next = self._next, None
             self._start_asgi_task(cycle, app)
 
+    def _takes_turns(self, data: bytes) -> bool:
+        """Return whether parsing takes too long for one turn of the loop."""
+        if data.count(HEAD_END) > MAX_PIPELINED:
+            return True
+        has_lines = self._is_reading_head or self._is_chunked
+        return has_lines and data.count(LINE_END) > MAX_LINES_AT_ONCE
+
     def _continue_reading(self) -> None:
         """Parse and read on as far as the connection's state allows."""
-        self._parse_unparsed()
+        if self._is_ended:
+            self._unparsed = b''
+        if self._unparsed:
+            # The rest of a head may be among what is held.
+            self._stop_head_timer()
+        if self._can_parse() and not self._has_turn:
+            self._has_turn = True
+            self.registry.turns.add(self._parse_turn)
         if self._is_reading_held():
             self.flow.pause_reading()
         else:
@@ -166,24 +186,27 @@
         has_unread_body = len(self.cycle.body) > flow_control.HIGH_WATER_LIMIT
         return has_unread_body and not self.cycle.response_complete
 
-    def _parse_unparsed(self) -> None:
-        """Parse what was received, while few requests wait."""
-        while (
+    def _can_parse(self) -> bool:
+        return (
             self._parsed_bytes < len(self._unparsed)
             and len(self.pipeline) < MAX_PIPELINED
             and not self._is_ended
             and not self._is_next_head_held()
             and not self.transport.is_closing()
-        ):
+        )
+
+    def _parse_turn(self) -> None:
+        """Parse some of what was received, while few requests wait."""
+        self._has_turn = False
+        end = self._parsed_bytes + PARSED_BYTES_PER_TURN
+        while self._parsed_bytes < end and self._can_parse():
             start = self._parsed_bytes
             self._parsed_bytes += PIPELINED_SLICE_BYTES
             self._parse(self._unparsed[start : self._parsed_bytes])
-        if self._parsed_bytes < len(self._unparsed) and not self._is_ended:
-            # The rest of a head may be among what is held.
-            self._stop_head_timer()
-        else:
+        if self._parsed_bytes >= len(self._unparsed):
             self._unparsed = b''
             self._parsed_bytes = 0
+        self._continue_reading()
 
     def _record_held(self) -> None:
         """Tell the registry what the connection makes the node keep."""
