Leave a part of the window for what follows the head

Cause: the head of a response takes one credit and the node grants none for it, so a window of one part sent the head and then nothing for 30 s. The window of one part came with more than 204 open responses at 200 MB. tests.process.test_controlled_clients showed it: 500 large responses, 102 of them cut off.

Change: the first credit is the window and one part for the head, 2 to 4. The window is 3 parts at most, as it was before with the head taken off.

Evidence: tests.process.test_controlled_clients passed, 9 s.

--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -89,7 +89,8 @@
     the expected service time on a server of usual speed. `suspect` marks a
     request that may have crashed a server. With `bounds_response`, the whole
     response has to arrive within `remaining_ms`, else only its head.
-    `response_window` is how many parts may follow the head without credit.
+    `response_window` is how many parts may be sent without credit, the head
+    included.
     """
 
     attempt: AttemptId
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -64,7 +64,7 @@
         self._progress_at = now
         self._probed_at = now
         self._credit = max(
-            1, min(messages.FLOW_WINDOW_PARTS, start.response_window)
+            2, min(messages.FLOW_WINDOW_PARTS, start.response_window)
         )
         self._body: collections.deque[messages.RequestPart] = (
             collections.deque()
--- a/jayflow/request/response_windows.py
+++ b/jayflow/request/response_windows.py
@@ -9,6 +9,10 @@
 from jayflow.connection import messages
 
 
+# The head of a response takes one part of the first window.
+MAX_PARTS = messages.FLOW_WINDOW_PARTS - 1
+
+
 class ResponseWindows:
     """Share a number of bytes among the windows of the open responses."""
 
@@ -20,10 +24,10 @@
     def parts_for(self, responses: int) -> int:
         """Return the window of each of a number of responses, at least 1."""
         if math.isinf(self._shared_bytes):
-            return messages.FLOW_WINDOW_PARTS
+            return MAX_PARTS
         window_bytes = self._shared_bytes / max(1, responses)
         parts = int(window_bytes / messages.MAX_PART_BYTES)
-        return max(1, min(messages.FLOW_WINDOW_PARTS, parts))
+        return max(1, min(MAX_PARTS, parts))
 
 
 class ResponseWindow:
@@ -34,6 +38,11 @@
         self._is_streaming = False
         self.parts = windows.parts_for(open_responses)
 
+    @property
+    def first_credit(self) -> int:
+        """Return how many parts may be sent at first, with the head."""
+        return self.parts + 1
+
     def next_credit(self) -> int:
         """Return how many parts to ask for after a part was passed on."""
         if not self._is_streaming:
