Take back the shared windows of responses

Cause: with 250 responses at once on a node with 200 MB, all 250 stalled and were cut off after 30 s; 60 were served.

--- a/jayflow/connection/connection_limits.py
+++ b/jayflow/connection/connection_limits.py
@@ -24,8 +24,6 @@
 # The rest is for connections to peers and backend servers.
 CLIENT_DESCRIPTORS_SHARE = 2 / 3
 MIN_CONNECTIONS = 16
-# Each response may exceed its share of this by one part.
-RESPONSE_WINDOW_DIVISOR = 8
 # A client that reads nothing of its answers for this long is disconnected.
 UNREAD_TIMEOUT_S = 10.0
 
@@ -37,11 +35,6 @@
     connections: int
     held_bytes: int
 
-    @property
-    def response_window_bytes(self) -> int:
-        """Return how much of all responses may be on its way to the node."""
-        return self.held_bytes // RESPONSE_WINDOW_DIVISOR
-
     @classmethod
     def from_resources(
         cls,
--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -234,7 +234,7 @@
     def _waiting_response_bytes(self) -> int:
         """Return how much of a response may wait in the application.
 
-        It is one part; a registry's limits hold the windows beyond it.
+        It counts as one part, although the window is four.
         """
         cycle = self._running
         if cycle is None:
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -89,8 +89,6 @@
     the expected service time on a server of usual speed. `suspect` marks a
     request that may have crashed a server. With `bounds_response`, the whole
     response has to arrive within `remaining_ms`, else only its head.
-    `response_window` is how many parts may be sent without credit, the head
-    included.
     """
 
     attempt: AttemptId
@@ -113,7 +111,6 @@
     expected_service_ms: int = 0
     slot_share: float = 1.0
     bounds_response: bool = False
-    response_window: int = FLOW_WINDOW_PARTS
 
 
 class RequestPart(msgspec.Struct, array_like=True, tag='B'):
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -58,7 +58,6 @@
 from jayflow.request import outcome
 from jayflow.request import planned_stop
 from jayflow.request import problem
-from jayflow.request import response_windows
 from jayflow.version import objects
 from jayflow.version import snapshot
 from jayflow.version import value_parsers
@@ -146,11 +145,7 @@
             is_adaptive=cfg.adaptive_slots,
         )
         self._exchange_table = exchanges.ExchangeTable(
-            self.incarnation,
-            self._metrics,
-            response_windows.ResponseWindows(
-                self._connections.limits.response_window_bytes
-            ),
+            self.incarnation, self._metrics
         )
         self._local = _LocalChannel(
             self._executor, self._exchange_table.deliver
--- a/jayflow/request/attempt.py
+++ b/jayflow/request/attempt.py
@@ -84,7 +84,6 @@
             else 0,
             expected_service_ms=int(work_s * 1000),
             bounds_response=math.isfinite(req.response_deadline),
-            response_window=self._exchange.window.first_credit,
         )
         self._exchange.channel.send(start)
 
--- a/jayflow/request/exchange.py
+++ b/jayflow/request/exchange.py
@@ -11,7 +11,6 @@
 
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
-from jayflow.request import response_windows
 
 
 class PeerChannel(Protocol):
@@ -47,10 +46,8 @@
         attempt: messages.AttemptId,
         channel: PeerChannel,
         on_close: Callable[[Self], None],
-        window: response_windows.ResponseWindow,
     ) -> None:
         self.attempt = attempt
-        self.window = window
         self.channel = channel
         self._on_close = on_close
         self._messages: collections.deque = collections.deque()
@@ -65,7 +62,6 @@
 
     def close(self) -> None:
         """Close the exchange; later messages are dropped."""
-        self.window.close()
         self._on_close(self)
 
     async def next_message(self, timeout_s: float):
@@ -92,9 +88,7 @@
         self,
         incarnation: messages.Incarnation,
         metrics: metrics_module.Metrics,
-        windows: response_windows.ResponseWindows | None = None,
     ) -> None:
-        self._windows = windows or response_windows.ResponseWindows()
         self._incarnation = incarnation
         self._metrics = metrics
         self._last_sequence = 0
@@ -111,10 +105,7 @@
     def open(self, channel: PeerChannel) -> Exchange:
         """Open the exchange of a new attempt."""
         attempt = self.new_attempt_id()
-        window = response_windows.ResponseWindow(
-            self._windows, len(self._open_exchanges) + 1
-        )
-        exchange = Exchange(attempt, channel, self._close, window)
+        exchange = Exchange(attempt, channel, self._close)
         self._open_exchanges[attempt] = exchange
         return exchange
 
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -63,9 +63,7 @@
         self._deadline = now + start.remaining_ms / 1000
         self._progress_at = now
         self._probed_at = now
-        self._credit = max(
-            2, min(messages.FLOW_WINDOW_PARTS, start.response_window)
-        )
+        self._credit = messages.FLOW_WINDOW_PARTS
         self._body: collections.deque[messages.RequestPart] = (
             collections.deque()
         )
--- a/jayflow/request/response.py
+++ b/jayflow/request/response.py
@@ -114,11 +114,9 @@
                         message.seq,
                         message.last,
                     )
+                    if not self._is_complete:
+                        self._send(messages.Credit(attempt, 1))
                     yield message.data
-                    # A caller that does not read holds back the credit.
-                    credit = self._exchange.window.next_credit()
-                    if credit and not self._is_complete:
-                        self._send(messages.Credit(attempt, credit))
                 case exchanges.ConnectionLostEvent():
                     timeout_s = LOST_CONNECTION_TIMEOUT_S
                 case messages.ResponsePart() if message.seq <= self._last_seq:
--- a/tests/process/test_uncontrolled_clients.py
+++ b/tests/process/test_uncontrolled_clients.py
@@ -96,6 +96,9 @@
         ),
     ),
     Case('idle connections', Pattern(), crowd=LARGE_CROWD),
+    Case('clients that return', Pattern(GET, returns=True), crowd=LARGE_CROWD),
+]
+LARGE_RESPONSES = [
     Case(
         'large responses',
         Pattern(
@@ -113,7 +116,6 @@
         ),
         CALLERS,
     ),
-    Case('clients that return', Pattern(GET, returns=True), crowd=LARGE_CROWD),
 ]
 
 
@@ -161,6 +163,10 @@
         for case in CASES:
             self._check(case)
 
+    def test_large_responses_that_are_read_slowly_filled_the_memory(self):
+        for case in LARGE_RESPONSES:
+            self._check(case)
+
     def _check(self, case: Case) -> None:
         """Run a crowd against a new node, then send an ordinary request."""
         ready, metrics = local_cluster.reserve_ports(2)
