--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -17,6 +17,8 @@
 import anyio.abc
 import zmq
 
+from jayflow.connection import connection_limits
+from jayflow.connection import connection_registry
 from jayflow.connection import http_server
 from jayflow.connection import link_budget
 from jayflow.connection import member as members
@@ -125,6 +127,12 @@
         self._live = live_settings.LiveSettings(cfg)
         self._log = logs.get_logger(logs.Component.NODE)
         self._metrics = metrics_module.Metrics.from_address(cfg.statsd)
+        self._connections = connection_registry.ConnectionRegistry(
+            connection_limits.ConnectionLimits.from_resources(
+                cfg.memory_mb, cfg.max_descriptors
+            ),
+            self._metrics,
+        )
         self._rng = random.Random(secrets.randbits(INCARNATION_BITS))
         self.incarnation = messages.Incarnation(
             secrets.randbits(INCARNATION_BITS)
@@ -313,6 +321,7 @@
             self._link_budgets.status,
             self._config_age.reported_age_s,
             self._team_limits.refusals,
+            self._connections,
         )
         self._status_reporter.evacuated = lambda: self._evacuations.current
         create_version_decoder = environment.create_version_decoder
@@ -365,12 +374,16 @@
             *self._cfg.http,
             self._bad_request,
             lambda: self._active_version.current.objects.limits,
+            self._connections,
         )
         control_app = self._environment.create_control_app(
             self._cfg, self._registration, self._status_reporter.status
         )
         announcement_server = http_server.create(
-            control_app, *self._cfg.announce, self._bad_request
+            control_app,
+            *self._cfg.announce,
+            self._bad_request,
+            registry=self._connections,
         )
         async with anyio.create_task_group() as tasks:
             self._message_router.tasks = tasks
@@ -571,7 +584,9 @@
                 )
 
     async def _serve(self, app, address: value_parsers.Address) -> None:
-        await http_server.create(app, *address, self._bad_request).serve()
+        await http_server.create(
+            app, *address, self._bad_request, registry=self._connections
+        ).serve()
 
     @property
     def _is_ready(self) -> bool:
--- a/jayflow/process/status.py
+++ b/jayflow/process/status.py
@@ -32,6 +32,19 @@
     measuring_peak: int
 
 
+class ConnectionStatus(msgspec.Struct, frozen=True):
+    """Hold the client connections of all addresses, and their limits.
+
+    Bytes are an estimate of what the connections make the node keep.
+    """
+
+    open: int
+    idle: int
+    held_bytes: int
+    max_open: int
+    max_held_bytes: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Hold the status of one node; ages in seconds."""
 
@@ -58,3 +71,4 @@
     cold: bool = False
     evacuated: tuple[str, ...] = ()
     evacuation_revision: int = 0
+    connections: ConnectionStatus | None = None
