Keep the headers that a node sets if the caller names them hop-by-hop

A caller's Connection header that named jayflow-tenant made the node drop the team's name after setting it, so the backend server got a request with a key and without a team. The same held for the caller's service. The hop-by-hop headers are now removed before the node sets its own.

tests.request.test_credentials failed before the change with no team sent.

--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -282,6 +282,10 @@
         target = scope['raw_path']
         if scope['query_string']:
             target += b'?' + scope['query_string']
+        request_id = self._dialect.request_id_of(headers)
+        # Comes first: a caller's Connection header may name what is to be
+        # dropped, and must not drop the headers that the node sets.
+        headers = http_headers.with_framing(headers, body.first, body.more)
         headers = self._dialect.caller_headers(headers, self._caller_service())
         if version.objects.team:
             headers = self._dialect.team_headers(
@@ -292,13 +296,13 @@
             policy=policy,
             method=scope['method'],
             target=target,
-            headers=http_headers.with_framing(headers, body.first, body.more),
+            headers=headers,
             body=body.first,
             has_more_body=body.more,
             read_body=body.read,
             deadline=time.monotonic() + remaining_s,
             is_idempotent=_is_idempotent(route, scope['method']),
-            id=_text(self._dialect.request_id_of(headers)),
+            id=_text(request_id),
             version=version.number,
             team=team.name if team else caller_request.NO_TEAM,
             allowed_regions=credentials.allowed_regions(route, team),
--- a/tests/request/test_credentials.py
+++ b/tests/request/test_credentials.py
@@ -166,6 +166,12 @@
                 [(TEAM, b'other'), (CREDENTIAL, KEY)],
                 [],
             ),
+            (
+                'team named as hop-by-hop',
+                ROUTE,
+                [(b'connection', TEAM), (CREDENTIAL, KEY)],
+                [b'acme'],
+            ),
         ]
         for name, route, rows, teams in cases:
             with self.subTest(name):
