Relay the end of an evacuation after a restore without the kind

A store that is restored from a copy without the kind evacuations answers 404, which stands for revision 0 of the new era. Peers ignored a state with revision 0, so nodes that hear only peers kept the evacuation for good.

tests.process.test_evacuations failed before the change: three of four nodes still held the evacuation.

--- a/jayflow/process/state_publishing.py
+++ b/jayflow/process/state_publishing.py
@@ -394,7 +394,8 @@
         view.last_heard_at = now
         view.platform_heard_at = now - state.platform_age_s
         view.record_load(state.load, now)
-        if state.evacuation_revision:
+        # After a restore to a copy without this kind the revision is 0.
+        if state.evacuation_revision or state.evacuation_era:
             self.on_evacuated(evacuations.Knowledge.from_state(state))
         if state.node in self._directory.forgetful_nodes:
             self._send(
--- a/tests/process/test_evacuations.py
+++ b/tests/process/test_evacuations.py
@@ -197,6 +197,9 @@
             ('taken back', changes(8, '', 'ab'), ()),
             ('restored store', listing(2, 'c', era=2), ('c',)),
             ('taken back after it', changes(3, '', 'c', era=2), ()),
+            ('evacuated after it', changes(4, 'a', era=2), ('a',)),
+            # Its revision is 0.
+            ('restored without the kind', listing(0, era=3), ()),
         ):
             with self.subTest(title):
                 self.nodes[0].known.apply(read)
