Choose the subsets of a large fleet only after a change

Each node chose the subsets of all services and sets of allowed regions once a second, by ordering all members, in one step that holds up requests. The choice depends only on the members, the configuration, the evacuations and who is silent, so it is now made again only when one of these has changed.

A refresh after a change still takes as long as before.

tests.process.test_subset failed before the change, at rest; it also fails if a change of the evacuations, the configuration or the silent members is not noticed.

--- a/jayflow/process/member_directory.py
+++ b/jayflow/process/member_directory.py
@@ -56,6 +56,9 @@
         self._subsets: dict[_SubsetKey, list[routing.PeerView]] = {}
         self._platform_sources: list[routing.PeerView] = []
         self._refreshed_at = -math.inf
+        # Whether anything that the subsets depend on has changed since they
+        # were chosen.
+        self._is_outdated = True
         self._excluded_until: dict[messages.NodeId, float] = {}
         self._leaving = departures.Departures(MAX_LEAVING_SERVERS)
         self._evacuated: frozenset[objects.DataCentreName] = frozenset()
@@ -111,6 +114,7 @@
         chosen = self._subsets.get(key)
         if chosen is None:
             chosen = self._subsets[key] = self._choose_subset(key)
+            self._is_outdated = True
         return chosen or self.peer_views_of(service)
 
     def peers_to_subscribe(self, now: float) -> list[routing.PeerView]:
@@ -118,25 +122,16 @@
 
         In a large fleet these are the subsets of the services in use and
         the peers that report the platform's state; both are chosen again
-        at intervals and after each change of the members.
+        after each change of the members. Which are silent is checked at
+        intervals. Choosing orders all members, so it is not done in vain.
         """
         if self.is_full_mesh:
             return self.peer_views()
         if now - self._refreshed_at > SUBSET_REFRESH_S:
             self._refreshed_at = now
-            self._exclude_silent(now)
-            self._subsets = {
-                key: self._choose_subset(key) for key in self._subsets
-            }
-            available = self._not_excluded(self._views.values())
-            subscribed_remote = {
-                view.member.node
-                for view in itertools.chain(*self._subsets.values())
-                if view.distance is routing.Distance.OTHER_REGION
-            }
-            self._platform_sources = subset.platform_sources(
-                self.node, available, len(subscribed_remote)
-            )
+            if self._exclude_silent(now) or self._is_outdated:
+                self._is_outdated = False
+                self._choose_all()
         chosen = [
             *self._platform_sources,
             *itertools.chain(*self._subsets.values()),
@@ -165,8 +160,27 @@
         ]
         return subset.service_subset(self.node, available)
 
-    def _exclude_silent(self, now: float) -> None:
-        """Exclude silent members from selection for SILENT_EXCLUSION_S."""
+    def _choose_all(self) -> None:
+        """Choose the subsets and the peers that report the platform."""
+        self._subsets = {
+            key: self._choose_subset(key) for key in self._subsets
+        }
+        available = self._not_excluded(self._views.values())
+        subscribed_remote = {
+            view.member.node
+            for view in itertools.chain(*self._subsets.values())
+            if view.distance is routing.Distance.OTHER_REGION
+        }
+        self._platform_sources = subset.platform_sources(
+            self.node, available, len(subscribed_remote)
+        )
+
+    def _exclude_silent(self, now: float) -> bool:
+        """Exclude silent members from selection for SILENT_EXCLUSION_S.
+
+        Returns whether other members are excluded than before.
+        """
+        excluded_before = set(self._excluded_until)
         for view in [
             *self._platform_sources,
             *itertools.chain(*self._subsets.values()),
@@ -180,6 +194,7 @@
             for node, until in self._excluded_until.items()
             if until > now
         }
+        return self._excluded_until.keys() != excluded_before
 
     def _not_evacuated(
         self, views: Iterable[routing.PeerView]
@@ -305,6 +320,7 @@
     ) -> None:
         """Send nothing more to the servers of these data centres."""
         self._evacuated = frozenset(data_centres)
+        self._is_outdated = True
         self._subsets = {
             key: self._choose_subset(key) for key in self._subsets
         }
@@ -312,6 +328,7 @@
     def apply_objects(self, config: objects.ObjectSet) -> None:
         """Apply the regions and data centres of a configuration version."""
         self._objects = config
+        self._is_outdated = True
         for view in self._views.values():
             view.distance = self.distance_to(view.member.data_centre)
             view.region = config.region_of(view.member.data_centre)
@@ -321,6 +338,7 @@
         for views in (*self._by_service.values(), *self._subsets.values()):
             views[:] = [view for view in views if view.member.node != node]
         self._refreshed_at = -math.inf
+        self._is_outdated = True
 
     def distance_to(
         self, data_centre: objects.DataCentreName
--- a/tests/process/test_subset.py
+++ b/tests/process/test_subset.py
@@ -2,6 +2,7 @@
 
 import collections
 import unittest
+from unittest import mock
 
 from jayflow.connection import member as members
 from jayflow.connection import messages
@@ -154,3 +155,47 @@
         self.assertIn(
             silent_view.member.node, names(directory.candidates(SHOP))
         )
+
+    def test_subsets_are_chosen_again_only_after_a_change(self):
+        # Choosing orders all members of a fleet, which holds up requests.
+        directory = fleet(60)[0]
+        directory.candidates(SHOP)
+        for view in directory.peer_views():
+            view.last_heard_at = NOW
+        steps = [
+            ('at first', lambda: None, 0, True),
+            ('at rest', lambda: None, 2, False),
+            ('a new member', lambda: directory.put(_member(60)), 4, True),
+            ('at rest again', lambda: None, 6, False),
+            ('removed', lambda: directory.remove('n60'), 8, True),
+            ('evacuated', lambda: directory.set_evacuated(['b-1']), 10, True),
+            ('configured', lambda: directory.apply_objects(REGIONS), 12, True),
+            (
+                'another set of regions',
+                lambda: directory.candidates(SHOP, frozenset('a')),
+                14,
+                True,
+            ),
+            ('at rest with regions', lambda: None, 16, False),
+            ('a silent member', self._silence(directory), 18, True),
+            ('still silent', lambda: None, 20, False),
+            ('included again', lambda: None, 60, True),
+        ]
+        for title, change, at, is_chosen in steps:
+            with self.subTest(title):
+                for view in directory.peer_views():
+                    if view.last_heard_at:
+                        view.last_heard_at = NOW + at
+                change()
+                with mock.patch.object(
+                    subset, 'platform_sources', wraps=subset.platform_sources
+                ) as choose:
+                    directory.peers_to_subscribe(NOW + at)
+                self.assertEqual(is_chosen, choose.called)
+
+    def _silence(self, directory):
+        def silence():
+            view = directory.peers_to_subscribe(NOW + 16)[0]
+            view.last_heard_at = 0.0
+
+        return silence
