Read team keys on jayflow's own protocol, and keep teams' stored responses apart

Found in review: nodes that don't run on the users' platform had no header for keys, so each request on a route that is not public got 401; and a team that sent another team's Idempotency-Key and body would have got its response.

--- a/jayflow/request/claim_segments.py
+++ b/jayflow/request/claim_segments.py
@@ -68,10 +68,15 @@
     supersedes: Claim | None = None
 
 
-def key_digest(service: str, key: bytes) -> KeyDigest:
-    """Return the digest under which a caller's key is stored."""
+def key_digest(service: str, key: bytes, team: str = '') -> KeyDigest:
+    """Return the digest under which a caller's key is stored.
+
+    Each team has keys of its own, so that none gets another's response.
+    """
     digest = hashlib.blake2b(key, digest_size=DIGEST_BYTES)
     digest.update(service.encode())
+    if team:
+        digest.update(b'\0' + team.encode())
     return KeyDigest(digest.digest())
 
 
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -63,8 +63,8 @@
     expected_instance: bytes | None = None
     caller_service: bytes | None = None
     # A caller's key, and the name of its team that backend servers get.
-    credential: bytes | None = None
-    team: bytes | None = None
+    credential: bytes = b'jayflow-team-key'
+    team: bytes = b'jayflow-team'
     allows_unframed_responses: bool = False
     allows_fractional_retry_after: bool = False
     # Statuses of failures that a retry on another server may avoid.
@@ -105,7 +105,7 @@
             for row in headers
             if row[0] not in (self.credential, self.team)
         ]
-        if team and self.team is not None:
+        if team:
             rewritten.append((self.team, team.encode()))
         return rewritten
 
--- a/jayflow/request/idempotency.py
+++ b/jayflow/request/idempotency.py
@@ -130,7 +130,7 @@
         """Run a request or replay the outcome of an earlier run."""
         if req.has_more_body:
             return _never_sent(Reason.BODY_TOO_LARGE)
-        digest = claim_segments.key_digest(req.service, key)
+        digest = claim_segments.key_digest(req.service, key, req.team)
         supersedes = None
         for _ in range(MAX_CLAIM_TRIES):
             claim = self._new_claim(req)
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -327,7 +327,7 @@
         if not version.objects.team or route.public:
             return None
         name = self._dialect.credential
-        key = http_headers.value_of(headers, name) if name else None
+        key = http_headers.value_of(headers, name)
         if key is None:
             return _never_sent(Reason.NO_TEAM)
         if not credentials.is_well_formed(
--- a/tests/request/test_credentials.py
+++ b/tests/request/test_credentials.py
@@ -10,7 +10,9 @@
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
 from jayflow.platform import headers as platform_headers
+from jayflow.request import claim_segments
 from jayflow.request.decisions import credentials
+from jayflow.request import header_dialect
 from jayflow.request import ingress
 from jayflow.request import outcome
 from jayflow.request import problem
@@ -199,3 +201,19 @@
         self.assertIs(ACME, ring.team_of(KEY))
         self.assertIsNone(ring.team_of(KEY + b'x'))
         self.assertNotIn(KEY.decode(), repr(vars(ring)))
+
+
+class KeyOfTeamTest(unittest.TestCase):
+    def test_a_team_does_not_get_the_stored_response_of_another(self):
+        digests = {
+            claim_segments.key_digest('s', b'k', team)
+            for team in ('', 'acme', 'other')
+        }
+        self.assertEqual(3, len(digests))
+
+    def test_nodes_of_the_own_protocol_read_and_remove_keys_too(self):
+        dialect = header_dialect.DEFAULT_DIALECT
+        rows = [(dialect.credential, KEY), (dialect.team, b'forged')]
+        self.assertEqual(
+            [(dialect.team, b'acme')], dialect.team_headers(rows, 'acme')
+        )
