Return the failure that may have run when a hedge's server sheds

A response by which a server sheds a request was preferred to the other attempt's failure if it came from the first attempt, as only a NotRun was taken as not run. The request was then reported as not run although the other attempt may have run.

--- a/jayflow/request/hedged_attempt.py
+++ b/jayflow/request/hedged_attempt.py
@@ -24,8 +24,8 @@
 
     While the first attempt runs, choose_hedge is called at short intervals
     and returns the server of the second attempt, or None. The attempt whose
-    result isn't returned is cancelled. Of two failures, Unknown is returned
-    rather than NotRun, since that attempt may have run.
+    result isn't returned is cancelled. Of two failures, one that may have run
+    is returned rather than one that did not run.
     """
     first = asyncio.ensure_future(run_attempt(view))
     hedge: asyncio.Future | None = None
@@ -57,11 +57,18 @@
     results = [await first, await hedge]
 
     def sort_key(result: Result) -> tuple[bool, bool]:
-        return not is_good(result), isinstance(result, outcome.NotRun)
+        return not is_good(result), _did_not_run(result)
 
     return min(results, key=sort_key)
 
 
+def _did_not_run(result: Result) -> bool:
+    """Return whether a failure says that the request did not run."""
+    if isinstance(result, response.Response):
+        return result.was_shed_by_server
+    return isinstance(result, outcome.NotRun)
+
+
 async def _discard(
     attempts_run: list[asyncio.Future], chosen: Result | None
 ) -> None:
--- a/tests/request/test_hedged_attempt.py
+++ b/tests/request/test_hedged_attempt.py
@@ -6,8 +6,25 @@
 
 from jayflow.request import hedged_attempt
 from jayflow.request import outcome
+from jayflow.request import response as responses
+
+
+class _Response(responses.Response):
+    """Stand in for a server's response of which only the status counts."""
+
+    def __init__(self, is_shed):
+        self.status = 503
+        self.headers = (
+            [(responses.OUTCOME_HEADER, b'not-run')] if is_shed else []
+        )
+
+    def close(self):
+        """Do nothing, as nothing is received."""
+
 
 GOOD = 'good'
+SHED = _Response(is_shed=True)
+FAILED = _Response(is_shed=False)
 NOT_RUN = outcome.NotRun(
     outcome.Reason.REVOKED, outcome.Evidence.REVOKED_BEFORE_START
 )
@@ -15,6 +32,13 @@
 # Preferred results first: a good one, then Unknown, since that attempt may
 # have run, then NotRun.
 PREFERENCE = [GOOD, UNKNOWN, NOT_RUN]
+# Of each pair of failures, the first must be returned: its attempt may have
+# run, so that a request with both may not be reported as not run.
+FAILURES = [
+    (UNKNOWN, SHED),
+    (FAILED, SHED),
+    (FAILED, NOT_RUN),
+]
 # When the second attempt ends, relative to the first, and how long the first
 # and the second attempt wait, in seconds.
 ENDS_S = [('first', 0.02, 0.0), ('together', 0.0, 0.0), ('last', 0.0, 0.01)]
@@ -33,6 +57,15 @@
                 preferred = min((first, second), key=PREFERENCE.index)
                 self.assertEqual(preferred, result)
 
+    def test_a_response_of_a_server_that_shed_hides_no_attempt(self):
+        for failures, (second_ends, *waits_s) in itertools.product(
+            FAILURES, ENDS_S
+        ):
+            for pair in itertools.permutations(failures):
+                with self.subTest(pair=pair, second_ends=second_ends):
+                    result = asyncio.run(self._run_hedged(*pair, *waits_s))
+                    self.assertIs(failures[0], result)
+
     async def _run_hedged(self, first, second, first_waits_s, second_waits_s):
         second_started = asyncio.Event()
 
