Send a claim or probe of a team's owner again after one that failed

An exception in a probe left it marked as running, so that none was sent any more and an owner without an answer refused the team for ever.

--- a/jayflow/process/team_owner.py
+++ b/jayflow/process/team_owner.py
@@ -206,8 +206,14 @@
     def _start(
         self, owned: _Owned, coroutine: Coroutine[None, None, None]
     ) -> None:
-        loop = asyncio.get_running_loop()
-        owned.probe = loop.create_task(coroutine)
+        async def run() -> None:
+            # A probe that fails must not keep later ones from being sent.
+            try:
+                await coroutine
+            finally:
+                owned.probe = None
+
+        owned.probe = asyncio.get_running_loop().create_task(run())
 
     async def _run_claim(
         self, team: objects.TeamName, owned: _Owned, target: messages.NodeId
@@ -223,7 +229,6 @@
                 self._begin_takeover(owned, now)
             owned.is_confirmed = owned.bucket.is_full_rate(now)
         owned.is_unknown = False
-        owned.probe = None
 
     async def _run_probes(
         self,
@@ -242,7 +247,6 @@
         elif all(answer is False for answer in answers):
             owned.bucket.set_full_rate(now)
         owned.is_unknown = False
-        owned.probe = None
 
     def _confirm(self, owned: _Owned, keeps_tokens: bool, now: float) -> None:
         """Grant at the full rate as the only owner."""
--- a/tests/process/test_team_queries.py
+++ b/tests/process/test_team_queries.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from unittest import mock
 
 from jayflow.connection import member as members
 from jayflow.connection import messages
@@ -122,6 +123,22 @@
         fleet = self.run_fleet(scenario)
         self.assertLessEqual(len(fleet.admitted['t']), 2 * 5 + 4)
 
+    def test_a_claim_that_fails_is_sent_again(self):
+        # The team was refused for ever, as the failed claim never ended.
+        async def main(loop):
+            fleet = team_fleet.Fleet(loop, 4, [TEAM])
+            owner = fleet.owner('t')
+            loop.set_exception_handler(lambda *_: None)
+            with mock.patch.object(
+                team_fleet.Channel, 'send', side_effect=OSError
+            ):
+                await fleet.submit('t', owner)
+            await fleet.offer('t', TEAM.rate, [owner], fleet.now() + 3)
+            return fleet
+
+        fleet = self.run_virtual(main)
+        self.assertGreater(len(fleet.admitted['t']), TEAM.rate)
+
     def test_teams_with_most_refusals_are_named(self):
         async def scenario(fleet):
             limits = next(iter(fleet.nodes.values())).limits
