Stop waiting for a team's token at the deadline of the request

A request with less than 0.15 s left waited on, used a token and was then refused by the server's node as too late. The new cases timed out before.

--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -23,6 +23,7 @@
 from jayflow.request.decisions import credentials
 from jayflow.request.decisions import quarantine
 from jayflow.request.decisions import splitting
+from jayflow.request.decisions import team_limit
 from jayflow.request import dispatch
 from jayflow.request import header_dialect
 from jayflow.request import headers as http_headers
@@ -157,16 +158,9 @@
             )
             await self._send_problem(req_or_failure, send)
             return
-        retry_after_s = await self._team_retry_after_s(req_or_failure)
-        if retry_after_s is not None:
-            await self._send_problem(
-                outcome.NotRun(
-                    Reason.TEAM_LIMIT,
-                    outcome.Evidence.NEVER_SENT,
-                    retry_after_s,
-                ),
-                send,
-            )
+        refusal = await self._team_refusal(req_or_failure)
+        if refusal is not None:
+            await self._send_problem(refusal, send)
             return
         try:
             result = await self._run(
@@ -344,14 +338,31 @@
             return _never_sent(Reason.STALE_CONFIGURATION)
         return team or _never_sent(Reason.NO_TEAM)
 
-    async def _team_retry_after_s(
+    async def _team_refusal(
         self, req: caller_request.Request
-    ) -> float | None:
-        """Return when to retry a request above its team's rate, else None."""
+    ) -> outcome.NotRun | None:
+        """Return why a request gets no token of its team, None if it may run.
+
+        A request that waits for a token gives up at its deadline.
+        """
         team = self._version().objects.team.get(req.team)
         if team is None or not team.rate or self._acquire_allowance is None:
             return None
-        return await self._acquire_allowance(req.team)
+        remaining_s = req.remaining_s()
+        if remaining_s > team_limit.ANSWER_TIMEOUT_S:
+            # No timeout is needed; one would cost each request about 10 us.
+            retry_after_s = await self._acquire_allowance(req.team)
+        else:
+            retry_after_s = None
+            with anyio.move_on_after(remaining_s) as scope:
+                retry_after_s = await self._acquire_allowance(req.team)
+            if scope.cancelled_caught:
+                return _never_sent(Reason.DEADLINE)
+        if retry_after_s is None:
+            return None
+        return outcome.NotRun(
+            Reason.TEAM_LIMIT, outcome.Evidence.NEVER_SENT, retry_after_s
+        )
 
     def _accepts(self, req: caller_request.Request) -> bool:
         return self.planned_stop is None or self.planned_stop.accepts(
--- a/tests/request/test_team_refusal.py
+++ b/tests/request/test_team_refusal.py
@@ -7,6 +7,8 @@
 import asyncio
 import unittest
 
+import anyio
+
 from jayflow.connection import http_server
 from jayflow import metrics as metrics_module
 from jayflow.platform import headers as platform_headers
@@ -37,7 +39,14 @@
 
 
 class TeamRefusalTest(unittest.TestCase):
-    def call(self, teams, is_public, wait_s, row=(b'jayflow-credential', KEY)):
+    def call(
+        self,
+        teams,
+        is_public,
+        wait_s,
+        row=(b'jayflow-credential', KEY),
+        deadline_ms=None,
+    ):
         """Return the head of the answer, what ran and what was acquired."""
         version = snapshot.Version(
             3,
@@ -54,6 +63,8 @@
 
         async def acquire(name):
             acquired.append(name)
+            if deadline_ms is not None:
+                await asyncio.sleep(10)
             return wait_s
 
         async def receive():
@@ -83,7 +94,15 @@
                 )
             },
         }
-        asyncio.run(app(scope, receive, send))
+        if deadline_ms is not None:
+            row = b'jayflow-deadline-ms', str(deadline_ms).encode()
+            scope['headers'].append(row)
+
+        async def run():
+            with anyio.fail_after(5):
+                await app(scope, receive, send)
+
+        asyncio.run(run())
         return sent[0], dispatcher.ran, acquired
 
     def test_only_teams_with_a_rate_are_limited(self):
@@ -110,6 +129,18 @@
         head, _, acquired = self.call([team(2.0)], False, None, (b'a', b'b'))
         self.assertEqual((401, []), (head['status'], acquired))
 
+    def test_a_request_does_not_wait_for_a_token_beyond_its_deadline(self):
+        # It waited on and used a token, but was too late for any server.
+        for deadline_ms in (0, 50):
+            with self.subTest(deadline_ms=deadline_ms):
+                head, ran, _ = self.call(
+                    [team(2.0)], False, None, deadline_ms=deadline_ms
+                )
+                self.assertEqual((503, []), (head['status'], ran))
+                self.assertEqual(
+                    b'not-run', dict(head['headers'])[b'jayflow-outcome']
+                )
+
     def test_the_refusal_states_when_to_retry(self):
         head, _, _ = self.call([team(2.0)], False, 0.3)
         self.assertEqual(b'0.3', dict(head['headers'])[b'retry-after'])
