Start the bucket of a team full where nothing was granted before

The first requests of a team were refused, as every new bucket starts empty. An owner that has been first for more than 6 s without a removal of a member now fills it once the next node says that it has not granted.

--- a/jayflow/process/owner_order.py
+++ b/jayflow/process/owner_order.py
@@ -30,6 +30,8 @@
     ) -> None:
         self._node = node
         self._directory = directory
+        # Changes of the members in which at least one was removed.
+        self.removals = 0
         self._membership = -1
         self._nodes: set[messages.NodeId] = set()
         self._first_by_team: dict[objects.TeamName, list[_Entry]] = {}
@@ -53,6 +55,7 @@
         nodes.add(self._node)
         added, removed = nodes - self._nodes, self._nodes - nodes
         self._nodes = nodes
+        self.removals += bool(removed)
         for team, entries in list(self._first_by_team.items()):
             kept = [entry for entry in entries if entry[1] not in removed]
             for node in added:
--- a/jayflow/process/team_limits.py
+++ b/jayflow/process/team_limits.py
@@ -63,7 +63,7 @@
         self._owner = team_owner.TeamOwner(
             node,
             find_team,
-            self._queries.order.first_nodes,
+            self._queries.order,
             self._queries.probe,
             is_stopping,
             metrics,
--- a/jayflow/process/team_owner.py
+++ b/jayflow/process/team_owner.py
@@ -14,6 +14,7 @@
 
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
+from jayflow.process import owner_order
 from jayflow.request.decisions import team_limit
 from jayflow.version import objects
 
@@ -35,7 +36,6 @@
 CLAIM = -1
 
 FindTeam = Callable[[objects.TeamName], objects.Team | None]
-FirstNodes = Callable[[objects.TeamName], list[messages.NodeId]]
 # Sends a PROBE or a CLAIM to a node; returns whether that grants tokens, None
 # if it does not answer in time.
 Probe = Callable[
@@ -49,11 +49,13 @@
 
     `is_unknown` while nothing is known, as the bucket is new or had no query
     for the takeover time, in which the node may have been frozen;
-    `is_confirmed` once the next node does not grant any more.
+    `is_confirmed` once the next node does not grant any more. `may_fill`
+    while nothing but a grant of the next node can count in the window.
     """
 
     bucket: team_limit.TeamBucket
     asked_at: float
+    may_fill: bool = False
     is_unknown: bool = True
     is_confirmed: bool = False
     probed_at: float = -math.inf
@@ -69,7 +71,7 @@
         self,
         node: messages.NodeId,
         find_team: FindTeam,
-        first_nodes: FirstNodes,
+        order: owner_order.OwnerOrder,
         probe: Probe,
         is_stopping: Callable[[], bool],
         metrics: metrics_module.Metrics,
@@ -78,13 +80,17 @@
     ) -> None:
         self._node = node
         self._find_team = find_team
-        self._first_nodes = first_nodes
+        self._order = order
         self._probe = probe
         self._is_stopping = is_stopping
         self._metrics = metrics
         self._clock = clock
         self._takeover_s = max(MIN_TAKEOVER_S, takeover_s)
         self._owned: dict[objects.TeamName, _Owned] = {}
+        # Since when no node left, the owner of a team among them, and no
+        # bucket was dropped.
+        self._settled_at = clock()
+        self._removals = order.removals
 
     def grant(
         self,
@@ -156,21 +162,32 @@
         if owned is None:
             if len(self._owned) >= MAX_BUCKETS:
                 del self._owned[next(iter(self._owned))]
+                self._settled_at = now
             bucket = team_limit.TeamBucket(
                 limit, now, full_at=now + self._takeover_s
             )
-            owned = self._owned[team.name] = _Owned(bucket, now)
+            owned = self._owned[team.name] = _Owned(
+                bucket, now, self._is_settled(team.name, now)
+            )
         elif owned.bucket.limit != limit:
             owned.bucket.set_limit(limit, now)
         return owned
 
+    def _is_settled(self, team: objects.TeamName, now: float) -> bool:
+        """Return whether this node has owned a team for a whole window."""
+        nodes = self._order.first_nodes(team)
+        if self._order.removals != self._removals:
+            self._removals = self._order.removals
+            self._settled_at = now
+        return nodes[0] == self._node and now - self._settled_at > ACTIVE_S
+
     def _begin_probe(
         self, team: objects.TeamName, owned: _Owned, now: float
     ) -> asyncio.Task | None:
         """Return the probe to wait for, None to grant at once."""
         if now - owned.asked_at > self._takeover_s:
             owned.is_unknown, owned.is_confirmed = True, False
-        nodes = self._first_nodes(team)
+        nodes = self._order.first_nodes(team)
         if nodes[0] != self._node:
             if now - owned.asked_at > GAP_S and not owned.is_unknown:
                 # What happened meanwhile is not known.
@@ -222,13 +239,16 @@
         was_granting = await self._probe(target, team, CLAIM)
         now = self._clock()
         if was_granting is not None:
+            may_fill = owned.may_fill and owned.is_unknown
             self._confirm(owned, not was_granting, now)
+            if may_fill and not was_granting:
+                owned.bucket.fill(now)
         else:
             owned.failed_claims += 1
             if owned.is_unknown and owned.bucket.is_full_rate(now):
                 self._begin_takeover(owned, now)
             owned.is_confirmed = owned.bucket.is_full_rate(now)
-        owned.is_unknown = False
+        owned.is_unknown = owned.may_fill = False
 
     async def _run_probes(
         self,
--- a/jayflow/request/decisions/team_limit.py
+++ b/jayflow/request/decisions/team_limit.py
@@ -148,6 +148,12 @@
         self._tokens = min(self._tokens, kept)
         self._returnable = 0.0
 
+    def fill(self, now: float) -> None:
+        """Add all tokens that a bucket of a team without requests holds."""
+        self._refill(now)
+        self._tokens = self._capacity(now)
+        self._clamp(now)
+
     def grant(self, asker: AskerId, demand: Demand, now: float) -> Grant:
         """Grant an asker its share of the tokens."""
         self._refill(now)
