Keep a quarter of the bucket that a takeover holds, not of the full one

In a takeover the bucket holds one token, but up to a quarter of the full capacity was kept for those that waited longer, so that only one asker could get it. Tests now also drop the bucket of a team and remove two owners, both found by the check without the condition on the owner's past.

--- a/jayflow/request/decisions/team_limit.py
+++ b/jayflow/request/decisions/team_limit.py
@@ -216,7 +216,7 @@
             return available
         longer = bisect.bisect_right(self._hungry_since, entry.served_at)
         longer -= is_hungry
-        kept = min(longer, math.floor(MAX_KEPT_SHARE * self.limit.capacity))
+        kept = min(longer, math.floor(MAX_KEPT_SHARE * self._capacity(now)))
         since_s = min(now - entry.served_at, COMPETITION_S)
         share = max(1, round(since_s * self._rate(now) / (others + 1)))
         return max(0, min(available - kept, share))
--- a/tests/process/team_fleet.py
+++ b/tests/process/team_fleet.py
@@ -126,7 +126,7 @@
         self.refused = collections.defaultdict(list)
         self.waits_s = collections.defaultdict(list)
         self._incarnations = 0
-        self._tasks = set()
+        self.tasks = set()
         self.names = [f'n{index}' for index in range(count)]
         for name in self.names:
             self.start(name)
@@ -208,8 +208,8 @@
             task = self.loop.create_task(
                 self.submit(team, self.rng.choice(names))
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     def bound(self, team):
         """Return the most requests of a team in any window."""
--- a/tests/process/test_team_first_requests.py
+++ b/tests/process/test_team_first_requests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 from unittest import mock
 
 from jayflow.process import team_owner
@@ -22,8 +23,12 @@
 
 
 def remove_owner(fleet):
-    """Kill the owner, and let all nodes forget it."""
-    name = fleet.owner('t')
+    """Kill the owner of the time, and let all nodes forget it."""
+    name = next(
+        name
+        for name in (fleet.owner('t', rank) for rank in range(NODES))
+        if fleet.nodes[name].is_alive
+    )
     fleet.kill(name)
     for node in fleet.nodes.values():
         node.directory.remove(name)
@@ -51,18 +56,21 @@
 
 def evict(fleet):
     """Let the owner drop the bucket of the team for those of others."""
-    owner = fleet.nodes[fleet.owner('t')].limits
-    for index in range(team_owner.MAX_BUCKETS):
-        name = f'x{index}'
+    owner = fleet.owner('t')
+    names = (f'x{index}' for index in itertools.count())
+    owned = (name for name in names if fleet.owner(name) == owner)
+    for name in itertools.islice(owned, team_owner.MAX_BUCKETS):
         fleet.teams[name] = objects.Team(name, rate=1.0)
-        task = asyncio.ensure_future(owner.acquire(name))
-        task.add_done_callback(lambda task: task.exception())
+        task = asyncio.ensure_future(fleet.submit(name, owner))
+        fleet.tasks.add(task)
+        task.add_done_callback(fleet.tasks.discard)
 
 
 # Title and faults with their times; the surge begins after the quiet time.
 FAULT_CASES = [
     ('no fault', []),
     ('owner removed', [(11.0, remove_owner)]),
+    ('two owners removed', [(11.0, remove_owner), (13.0, remove_owner)]),
     ('owner restarted', [(11.0, restart_owner)]),
     ('owner frozen shortly', [(9.5, freeze(1.0))]),
     ('owner frozen', [(9.5, freeze(8.0))]),
@@ -129,5 +137,5 @@
         with mock.patch.object(
             team_owner.TeamOwner, '_is_settled', return_value=True
         ):
-            fleet = self.surge([(11.0, remove_owner)])
+            fleet = self.surge([(11.0, remove_owner), (13.0, remove_owner)])
         self.assertGreater(fleet.most_in_window('t'), fleet.bound('t'))
--- a/tests/request/test_team_limit.py
+++ b/tests/request/test_team_limit.py
@@ -113,6 +113,14 @@
         self.assertGreater(min(tokens), sum(tokens) / 3 / 3)
         self.assertGreater(sum(tokens), 0.95 * 20 * 60)
 
+    def test_a_takeover_keeps_no_token_for_askers_that_waited_longer(self):
+        # It holds one token, so that only one of all askers could get it, and
+        # most of the takeover rate was lost.
+        bucket = team_limit.TeamBucket(LIMIT, 0.0, full_at=5.0)
+        for asker in range(12):
+            bucket.grant(asker, Demand(1, 1), asker / 100)
+        self.assertEqual(1, bucket.grant(11, Demand(1, 1), 0.9).tokens)
+
     def test_the_retry_time_grows_with_the_refused_demand(self):
         bucket = new_bucket()
         waits_s = [
