Do not hedge a request that may have crashed a server

A retry after a crash runs alone and may wait for that, so it looked stuck and was sent to a second server as well. Attempts of suspects have no try timeout for the same reason. The new case saw one hedge before.

--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -175,6 +175,8 @@
         """Run an attempt; hedge it on another server if the first is slow."""
         may_hedge = (
             state.servers_reached + 2 <= req.policy.tries
+            # Both attempts of a suspect could crash a server.
+            and not req.is_suspect
             and self._hedge_limits.share_of(req.policy) != 0
         )
         if not req.is_idempotent or req.has_more_body or not may_hedge:
--- a/tests/request/test_hedge_choice.py
+++ b/tests/request/test_hedge_choice.py
@@ -130,6 +130,16 @@
         False,
         {},
     ),
+    (
+        'the request may have crashed a server',
+        DEPOSIT,
+        _policy(),
+        {'is_suspect': True},
+        0,
+        10,
+        False,
+        {},
+    ),
     (
         'its body is still being sent',
         DEPOSIT,
