--- a/jayflow/request/decisions/team_stock.py
+++ b/jayflow/request/decisions/team_stock.py
@@ -161,6 +161,7 @@
         """Return when to look again whether to renew, None for never."""
         if not self._is_in_use(now):
             return None
+        self._drop_expired(now)
         if not self._batches:
             return team_limit.STOCK_LIFETIME_S
         expires_at = self._batches[0].expires_at
--- a/tests/request/test_team_limit.py
+++ b/tests/request/test_team_limit.py
@@ -164,6 +164,17 @@
                 )
                 self.assertEqual(held > 0, stock.take(now))
 
+    def test_an_expired_stock_is_not_looked_at_again_and_again(self):
+        # Every 2 ms until the owner's refusal had passed.
+        stock = team_stock.Stock()
+        for _ in range(9):
+            stock.record_demand(0.0)
+        self.fill(stock, 3, 0.0)
+        asked = stock.demand('n1', 0, 0.9)
+        stock.record_grant(asked, team_limit.Grant(0, 0.4), 0.9, 0.9)
+        self.assertFalse(stock.needs_renewal(1.1))
+        self.assertGreater(stock.renewal_wait_s(1.1), 0.1)
+
     def test_only_tokens_that_were_asked_for_are_kept(self):
         # Title, granted, time of the answer, admitted, kept for later.
         cases = [
