--- a/tests/request/test_team_limit.py
+++ b/tests/request/test_team_limit.py
@@ -113,6 +113,14 @@
         self.assertGreater(min(tokens), sum(tokens) / 3 / 3)
         self.assertGreater(sum(tokens), 0.95 * 20 * 60)
 
+    def test_a_takeover_keeps_no_token_for_askers_that_waited_longer(self):
+        # It holds one token, so that only one of all askers could get it, and
+        # most of the takeover rate was lost.
+        bucket = team_limit.TeamBucket(LIMIT, 0.0, full_at=5.0)
+        for asker in range(12):
+            bucket.grant(asker, Demand(1, 1), asker / 100)
+        self.assertEqual(1, bucket.grant(11, Demand(1, 1), 0.9).tokens)
+
     def test_the_retry_time_grows_with_the_refused_demand(self):
         bucket = new_bucket()
         waits_s = [
@@ -156,6 +164,17 @@
                 )
                 self.assertEqual(held > 0, stock.take(now))
 
+    def test_an_expired_stock_is_not_looked_at_again_and_again(self):
+        # Every 2 ms until the owner's refusal had passed.
+        stock = team_stock.Stock()
+        for _ in range(9):
+            stock.record_demand(0.0)
+        self.fill(stock, 3, 0.0)
+        asked = stock.demand('n1', 0, 0.9)
+        stock.record_grant(asked, team_limit.Grant(0, 0.4), 0.9, 0.9)
+        self.assertFalse(stock.needs_renewal(1.1))
+        self.assertGreater(stock.renewal_wait_s(1.1), 0.1)
+
     def test_only_tokens_that_were_asked_for_are_kept(self):
         # Title, granted, time of the answer, admitted, kept for later.
         cases = [
