--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -201,7 +201,7 @@
             self._directory,
             self._exchange_table,
             self._channel_to,
-            lambda name: self._active_version.current.objects.team.get(name),
+            self._find_limited_team,
             lambda: self._ingress.is_stopping,
             self._metrics,
             cfg.config_max_age,
@@ -486,6 +486,18 @@
             return min(watch.watch_timeout_s, config_age.MAX_WATCH_S)
         return watch.watch_timeout_s
 
+    def _find_limited_team(
+        self, name: objects.TeamName
+    ) -> objects.Team | None:
+        """Return a team whose tokens this node may grant.
+
+        Before it has listed the members, a node would take itself for the
+        only owner.
+        """
+        if not self._record_listed.is_set():
+            return None
+        return self._active_version.current.objects.team.get(name)
+
     def _relist_other_prefixes(self) -> None:
         """List again below all prefixes but that of the configuration."""
         for platform_watcher in self._platform_watchers[1:]:
