--- a/jayflow/metrics.py
+++ b/jayflow/metrics.py
@@ -70,6 +70,9 @@
     TEAM_ANSWER = 'team_answer'
     TEAM_TOKENS = 'team_tokens'
     TEAM_TAKEOVER = 'team_takeover'
+    CLOSED_AT_CONNECTIONS = 'closed_at_connections'
+    CLOSED_AT_BYTES = 'closed_at_bytes'
+    CLOSED_UNREAD = 'closed_unread'
 
 
 class Metrics:
--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -90,6 +90,10 @@
         Field('statsd', value_parsers.address),
         Field('address', value_parsers.address),
     ),
+    'limits': (
+        Field('memory-mb', value_parsers.non_negative_number),
+        Field('max-descriptors', value_parsers.non_negative_number),
+    ),
 }
 REGIONS_SECTION = 'regions'
 REQUIRED_SECTIONS = ('node', 'platform')
@@ -137,6 +141,8 @@
     log_level: logs.Level
     statsd: value_parsers.Address | None
     metrics: value_parsers.Address | None
+    memory_mb: float | None
+    max_descriptors: float | None
     file: pathlib.Path | None = None
 
     @classmethod
@@ -213,6 +219,8 @@
             log_level=values['logs']['level'],
             statsd=values['metrics']['statsd'],
             metrics=values['metrics']['address'],
+            memory_mb=values['limits']['memory-mb'],
+            max_descriptors=values['limits']['max-descriptors'],
         )
 
 
--- a/jayflow/process/status_reporter.py
+++ b/jayflow/process/status_reporter.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from jayflow.connection import connection_registry
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
@@ -30,7 +31,8 @@
         platform_age_s: Callable[[float], float],
         link_statuses: Callable[[], tuple[documents.LinkStatus, ...]],
         config_age_s: Callable[[], float | None],
-        team_refusals: Callable[[], dict[str, int]] = dict,
+        team_refusals: Callable[[], dict[str, int]],
+        connections: connection_registry.ConnectionRegistry,
     ) -> None:
         self._config_age_s = config_age_s
         self._directory = directory
@@ -43,6 +45,7 @@
         self.evacuated: Callable[[], evacuations.Knowledge] = (
             evacuations.Knowledge
         )
+        self._connections = connections
 
     def metrics_text(self) -> str:
         """Return the counters, histograms and gauges as text."""
@@ -60,6 +63,8 @@
                 'server_requests_per_s_limit': rate_limit.requests_per_s,
                 'server_cold': rate_limit.cold.is_cold(time.monotonic()),
                 'evacuated_data_centres': len(self.evacuated().data_centres),
+                'connections': len(self._connections),
+                'connections_held_bytes': self._connections.held_bytes,
                 **self._config_age_gauge(),
             }
             | {
@@ -106,6 +111,7 @@
                 cold=self._executor.backend.cold.is_cold(now),
                 evacuated=evacuated.data_centres,
                 evacuation_revision=evacuated.position.revision,
+                connections=self._connection_status(),
             )
         )
 
@@ -113,6 +119,16 @@
         age_s = self._config_age_s()
         return {} if age_s is None else {'config_age_seconds': age_s}
 
+    def _connection_status(self) -> documents.ConnectionStatus:
+        limits = self._connections.limits
+        return documents.ConnectionStatus(
+            open=len(self._connections),
+            idle=self._connections.idle_count,
+            held_bytes=self._connections.held_bytes,
+            max_open=limits.connections,
+            max_held_bytes=limits.held_bytes,
+        )
+
     def _member_status(
         self, member: members.Member, now: float
     ) -> documents.MemberStatus:
--- a/jayflow/request/decisions/team_limit.py
+++ b/jayflow/request/decisions/team_limit.py
@@ -148,6 +148,12 @@
         self._tokens = min(self._tokens, kept)
         self._returnable = 0.0
 
+    def fill(self, now: float) -> None:
+        """Add all tokens that a bucket of a team without requests holds."""
+        self._refill(now)
+        self._tokens = self._capacity(now)
+        self._clamp(now)
+
     def grant(self, asker: AskerId, demand: Demand, now: float) -> Grant:
         """Grant an asker its share of the tokens."""
         self._refill(now)
@@ -210,7 +216,7 @@
             return available
         longer = bisect.bisect_right(self._hungry_since, entry.served_at)
         longer -= is_hungry
-        kept = min(longer, math.floor(MAX_KEPT_SHARE * self.limit.capacity))
+        kept = min(longer, math.floor(MAX_KEPT_SHARE * self._capacity(now)))
         since_s = min(now - entry.served_at, COMPETITION_S)
         share = max(1, round(since_s * self._rate(now) / (others + 1)))
         return max(0, min(available - kept, share))
