--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -347,11 +347,13 @@
         count: int,
         data_centre: str = 'dc1',
         stop_limit: str = '30 s',
-        template: str = SETTINGS_TEMPLATE,
+        template: str | None = None,
     ) -> list[Node]:
         """Start nodes concurrently and wait until all answer."""
         nodes = [
-            self._launch_node(data_centre, stop_limit, template)
+            self._launch_node(
+                data_centre, stop_limit, template or SETTINGS_TEMPLATE
+            )
             for _ in range(count)
         ]
         for node in nodes:
