Make fewer calls at the start of a fleet

Change: members are listed again after 4 s, evacuations are watched as soon as all peers are heard, and an unknown age causes a read only after 2 s.

--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -19,12 +19,14 @@
 # A quarter of the time within which a member whose record has lapsed must be
 # listed again.
 MEMBER_BATCH_DELAY_S = 0.5
-# Nodes that start together list each other FIRST_RELIST_DELAY_S after their
-# start and have heard from each other a second later.
-MEMBER_WATCH_DELAY_S = platform_watchers.FIRST_RELIST_DELAY_S + 1.0
-# Most nodes of a fleet that starts have heard of the watchers by then; a
-# standing evacuation must be known again within 5 s of a restart of all.
-EVACUATION_WATCH_DELAY_S = platform_watchers.FIRST_RELIST_DELAY_S + 0.6
+# Nodes that start together have written their records by then, also those on
+# slow hosts, and have heard from each other a second later.
+MEMBER_RELIST_DELAY_S = 4.0
+MEMBER_WATCH_DELAY_S = MEMBER_RELIST_DELAY_S + 1.0
+# Most nodes of a fleet that starts have heard of the watchers by then. After a
+# restart of all, nodes know each other from their first list and don't wait:
+# a standing evacuation must be known again within 5 s.
+EVACUATION_WATCH_DELAY_S = MEMBER_RELIST_DELAY_S + 0.6
 
 METADATA_STORE = environment.Environment(
     dialect=headers.DIALECT,
@@ -41,6 +43,7 @@
         environment.WatchedPrefix(
             members.KEY_PREFIX,
             batch_delay_s=MEMBER_BATCH_DELAY_S,
+            first_relist_delay_s=MEMBER_RELIST_DELAY_S,
             watch_delay_s=MEMBER_WATCH_DELAY_S,
         ),
         # Nodes learn of evacuations from their peers as they subscribe. After
--- a/jayflow/process/config_age.py
+++ b/jayflow/process/config_age.py
@@ -42,6 +42,7 @@
 # The age of a watcher is between one and two times this. With 1.0 s, half of
 # its answers exceed USEFUL_AGE_S and other nodes read from the store instead.
 MAX_WATCH_S = 0.7
+FIRST_CONFIRMATION_S = 2.0
 # JSON has no infinity.
 MAX_REPORTED_AGE_S = 1e6
 
@@ -127,7 +128,12 @@
         return self.is_enabled and self.age_s() > config_age.OVERDUE_AGE_S
 
     def _is_read_due(self) -> bool:
-        return self.is_enabled and self.age_s() > config_age.READ_AGE_S
+        age_s = self.age_s()
+        if not self.is_enabled or age_s <= config_age.READ_AGE_S:
+            return False
+        # The next watch or answer confirms a version that has just arrived.
+        held_s = time.monotonic() - self._active_version.applied_at
+        return math.isfinite(age_s) or held_s > FIRST_CONFIRMATION_S
 
     def confirm(self, stored_version: int | None, sent_at: float) -> None:
         """Record the version that a call to the store showed as the newest.
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -444,6 +444,8 @@
             watch.watch_delay_s,
             watch.watchers_only,
         )
+        if watch.watchers_only:
+            platform_watcher.is_informed = self._directory.hears_all_peers
         if evacuations.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_read = self._evacuations.apply
         if members.KEY_PREFIX.startswith(watch.prefix):
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -176,7 +176,8 @@
         """
         if self._watchers_only:
             age_s = now - self._created_at
-            return age_s >= self._watch_delay_s and self.is_watcher(now)
+            may_watch = age_s >= self._watch_delay_s or self.is_informed(now)
+            return may_watch and self.is_watcher(now)
         if self._listed_at < 0:
             return True
         may_watch = now - self._first_listed_at >= self._watch_delay_s
