Leave settings unset that the platform's template leaves empty

Cause: the template used conditional sections for single values and gave memory-mb and max-descriptors no value where a platform names none; each kept every node from starting there.

--- a/jayflow/process/settings.py
+++ b/jayflow/process/settings.py
@@ -61,8 +61,16 @@
         Field('hedge-share', value_parsers.non_negative_number),
         Field('crash-strikes', value_parsers.positive_int),
         Field('adaptive-slots', value_parsers.yes_or_no, False),
-        Field('config-max-age', value_parsers.seconds),
-        Field('evacuations', value_parsers.yes_or_no, False),
+        # The template leaves these empty where the platform has no bound.
+        Field(
+            'config-max-age',
+            value_parsers.optional(value_parsers.seconds_or_number),
+        ),
+        Field('strict-revocation', value_parsers.flag, True),
+        Field(
+            'evacuate-within',
+            value_parsers.optional(value_parsers.seconds_or_number),
+        ),
     ),
     'platform': (
         Field('address', value_parsers.address, required=True),
@@ -91,8 +99,14 @@
         Field('address', value_parsers.address),
     ),
     'limits': (
-        Field('memory-mb', value_parsers.non_negative_number),
-        Field('max-descriptors', value_parsers.non_negative_number),
+        Field(
+            'memory-mb',
+            value_parsers.optional(value_parsers.non_negative_number),
+        ),
+        Field(
+            'max-descriptors',
+            value_parsers.optional(value_parsers.non_negative_number),
+        ),
     ),
 }
 REGIONS_SECTION = 'regions'
@@ -207,8 +221,10 @@
             hedge_share=node['hedge-share'],
             crash_strikes=node['crash-strikes'],
             adaptive_slots=node['adaptive-slots'],
-            config_max_age=node['config-max-age'],
-            evacuations=node['evacuations'],
+            config_max_age=node['config-max-age']
+            if node['strict-revocation']
+            else None,
+            evacuations=node['evacuate-within'] is not None,
             platform=platform['address'],
             protocol=platform['protocol'],
             max_pause=platform['max-pause'],
--- a/jayflow/version/value_parsers.py
+++ b/jayflow/version/value_parsers.py
@@ -32,6 +32,7 @@
 _DIGEST = re.compile(r'^[0-9a-f]{64}$')
 MAX_PORT = 65535
 
+T = TypeVar('T')
 EnumMember = TypeVar('EnumMember', bound=enum.Enum)
 
 
@@ -148,6 +149,29 @@
     return text
 
 
+def optional(parse: Callable[[str], T]) -> Callable[[str], T | None]:
+    """Return a parser that takes an empty text, as of a template, as None."""
+
+    def parse_optional(text: str) -> T | None:
+        return parse(text) if text else None
+
+    return parse_optional
+
+
+def seconds_or_number(text: str) -> float:
+    """Return a duration, in seconds if it has no unit."""
+    return seconds(f'{text} s' if re.fullmatch(_NUMBER, text) else text)
+
+
+def flag(text: str) -> bool:
+    """Return whether a flag is set; an empty text stands for no."""
+    if text.lower() in ('', 'false', 'no'):
+        return False
+    if text.lower() not in ('true', 'yes'):
+        raise ValueError('expected yes, no, true or false')
+    return True
+
+
 def yes_or_no(text: str) -> bool:
     """Return True for yes and False for no."""
     if text not in ('yes', 'no'):
--- a/tests/platform/test_node_template.py
+++ b/tests/platform/test_node_template.py
@@ -31,7 +31,6 @@
 }
 ZONES = {'cdmx-a': 'mx-centro', 'mty-a': 'mx-norte'}
 _SECTION = re.compile(r'\{\{#zones\}\}(.*?)\{\{/zones\}\}', re.DOTALL)
-_CONDITION = re.compile(r'\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _PLACEHOLDER = re.compile(r'\{\{([^}]+)\}\}')
 # Field of the platform, its text, setting and the value of the setting.
 NUMBERS = [
@@ -65,13 +64,8 @@
             for zone, region in ZONES.items()
         )
 
-    def expand_condition(section: re.Match) -> str:
-        is_absent = values.get(section[1], 'false') == 'false'
-        return '' if is_absent else section[2]
-
     text = _SECTION.sub(expand_zones, TEMPLATE)
-    text = _CONDITION.sub(expand_condition, text)
-    return _PLACEHOLDER.sub(lambda field: values[field[1]], text)
+    return _PLACEHOLDER.sub(lambda field: values.get(field[1], ''), text)
 
 
 class NodeTemplateTest(unittest.TestCase):
@@ -96,6 +90,18 @@
                 cfg = settings.Settings.from_text('node.ini', render(values))
                 self.assertEqual(expected, cfg.config_max_age)
 
+    def test_what_the_platform_does_not_name_is_unset(self):
+        # Values that were empty once kept every node from starting.
+        values = {
+            key: value
+            for key, value in VALUES.items()
+            if not key.startswith('limits.')
+        }
+        cfg = settings.Settings.from_text('node.ini', render(values))
+        for setting in ('config_max_age', 'memory_mb', 'max_descriptors'):
+            with self.subTest(setting):
+                self.assertIsNone(getattr(cfg, setting))
+
     def test_regions_are_read(self):
         cfg = settings.Settings.from_text('node.ini', render(VALUES))
         self.assertEqual(ZONES, cfg.regions)
