--- a/tests/request/test_executor.py
+++ b/tests/request/test_executor.py
@@ -182,6 +182,12 @@
         await anyio.sleep(0.05)
         self.assertEqual(0, self.executor.in_flight)
 
+    async def wait_until(self, condition):
+        """Wait until a condition holds; fail after a few seconds."""
+        with anyio.fail_after(5):
+            while not condition():
+                await anyio.sleep(0.005)
+
     async def test_a_cancelled_attempt_frees_what_it_held(self):
         # An attempt that lost to its hedge, or the hedge that lost, must
         # leave its slot or its place in the queue to others at once.
@@ -199,10 +205,11 @@
                     start(base + 1, max_queue_ms=900),
                     start(base + 2, max_queue_ms=900),
                 )
-                await anyio.sleep(0.02)
+                # On a busy machine the first takes long to reach the server.
+                await self.wait_until(lambda: self.server.runs == 1)
                 attempt = messages.AttemptId(SENDER, base + cancelled)
                 self.send(messages.Cancel(attempt))
-                await anyio.sleep(0.02)
+                await self.wait_until(lambda: self.executor.in_flight == 1)
                 load = self.executor.load()
                 self.assertEqual((1, 0), (load.running, load.queued))
                 self.server.may_respond.set()
