Test waves of clients that send ahead and never read

Clients that send requests ahead and read no answer made a node use more memory than its host has, and what they left was not freed once they had gone, so that each wave took more.

--- a/tests/process/uncontrolled_clients.py
+++ b/tests/process/uncontrolled_clients.py
@@ -25,7 +25,8 @@
 
     A client sends `first`, then repeats `rest`. It reads nothing unless
     `reads_slowly`. With `is_slow` it sends `rest` once per interval. With
-    `returns` it closes its connection at once and opens another.
+    `returns` it closes its connection at once and opens another; with
+    `reconnects` it opens another once the node has closed one.
     """
 
     first: bytes = b''
@@ -33,6 +34,7 @@
     reads_slowly: bool = False
     is_slow: bool = False
     returns: bool = False
+    reconnects: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +53,7 @@
         self._is_scheduled = False
         self._loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.is_lost = asyncio.Event()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -64,6 +67,9 @@
         self.transport.pause_reading()
         self._read_later()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_lost.set()
+
     def pause_writing(self) -> None:
         self._is_writable = False
 
@@ -95,21 +101,25 @@
 
 
 def run_crowd(
-    pattern: Pattern, ports: list[int], count: int, pid: int
+    pattern: Pattern,
+    ports: list[int],
+    count: int,
+    pid: int,
+    span_s: float = SPAN_S,
 ) -> Peak:
     """Let clients connect to the ports in turn; return the process's peak."""
-    return asyncio.run(_run_crowd(pattern, ports, count, pid))
+    return asyncio.run(_run_crowd(pattern, ports, count, pid, span_s))
 
 
 async def _run_crowd(
-    pattern: Pattern, ports: list[int], count: int, pid: int
+    pattern: Pattern, ports: list[int], count: int, pid: int, span_s: float
 ) -> Peak:
     tasks = [
         asyncio.create_task(_run_client(pattern, ports[index % len(ports)]))
         for index in range(count)
     ]
     descriptors = 0
-    until = asyncio.get_running_loop().time() + SPAN_S
+    until = asyncio.get_running_loop().time() + span_s
     while asyncio.get_running_loop().time() < until:
         descriptors = max(descriptors, _descriptor_count(pid))
         await asyncio.sleep(POLL_INTERVAL_S)
@@ -131,7 +141,7 @@
         )
         try:
             await loop.sock_connect(sock, (local_cluster.HOST, port))
-            transport, _ = await loop.create_connection(
+            transport, client = await loop.create_connection(
                 lambda: _Client(pattern), sock=sock
             )
         except OSError:
@@ -142,17 +152,28 @@
             sock.close()
             raise
         try:
-            if not pattern.returns:
+            if pattern.reconnects:
+                await client.is_lost.wait()
+            elif not pattern.returns:
                 await loop.create_future()
             await asyncio.sleep(0)
         finally:
             transport.abort()
 
 
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory, 0 if the process has ended."""
+    return _memory_bytes(pid, 'VmRSS')
+
+
 def _peak_memory_bytes(pid: int) -> int:
     """Return the peak of the resident memory, 0 if the process has ended."""
+    return _memory_bytes(pid, 'VmHWM')
+
+
+def _memory_bytes(pid: int, field: str) -> int:
     for line in _read_status(pid).splitlines():
-        if line.startswith('VmHWM:'):
+        if line.startswith(f'{field}:'):
             return int(line.split()[1]) * 1024
     return 0
 
