Free a closed client connection at once, not at a garbage collection

A connection was part of reference cycles: the protocol and its flow control, the protocol and its last request, the parser, and the transport of asyncio, which keeps a method of its own. The collector looks at the oldest generation only after some 50 million allocations. uvicorn also keeps the keep-alive timer of a connection that the client has reset, and so the connection, for idle_timeout.

The protocol now breaks the cycles when the connection is lost and cancels the timer, so that the memory is freed by reference counting.

--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from typing import ClassVar
 
 from uvicorn.protocols.http import flow_control
@@ -54,6 +55,14 @@
         if not self._is_held():
             super().resume_reading()
 
+    def release(self) -> None:
+        """Forget the protocol, which refers to this object."""
+        self._is_held = _always
+
+
+def _always() -> bool:
+    return True
+
 
 class ClientProtocol(http_heads.HeadProtocol):
     """Limit a client's connection and report its loss."""
@@ -94,6 +103,7 @@
             self._running.scope['extensions'][
                 http_hooks.DISCONNECT_EXTENSION
             ].notify()
+        self._release()
 
     def abort(self) -> None:
         """Free what was received and close without writing the rest."""
@@ -243,6 +253,20 @@
             return messages.MAX_PART_BYTES
         return min(messages.MAX_PART_BYTES, cycle.expected_content_length)
 
+    def _release(self) -> None:
+        """Break the reference cycles of a closed connection.
+
+        Otherwise its memory would be freed only by the next collection of
+        the oldest generation, after many more connections.
+        """
+        # uvicorn keeps the timer if the client has reset the connection.
+        self._unset_keepalive_if_required()
+        self.cycle = self._running = None
+        self.flow.release()
+        # The transport of asyncio refers to a method of its own.
+        with contextlib.suppress(AttributeError):
+            self.transport._read_ready_cb = None
+
     def _drop_received(self) -> None:
         self._stop_head_timer()
         self._is_ended = True
