Forget the turns of a client connection that is closed

Each connection that sent ahead waits in the queue of turns, of which the event loop takes one at a time, while it accepts 16 connections in the same time. Connections that were closed at the bound on bytes kept their place, and with it the whole connection, thousands of them.

A closed connection is now taken out of the queue.

--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -261,6 +261,8 @@
         """
         # uvicorn keeps the timer if the client has reset the connection.
         self._unset_keepalive_if_required()
+        self.registry.turns.discard(self._parse_turn)
+        self.registry.turns.discard(self._start_next)
         self.cycle = self._running = None
         self.flow.release()
         # The transport of asyncio refers to a method of its own.
--- a/tests/connection/test_connection_registry.py
+++ b/tests/connection/test_connection_registry.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import unittest
 
 from jayflow.connection import connection_limits
@@ -124,3 +125,32 @@
             seen.append(len(started))
         self.assertEqual([0, 1, 2], started)
         self.assertEqual([1, 2, 3], seen)
+
+    async def test_callbacks_of_closed_connections_waited_for_their_turns(
+        self,
+    ):
+        started = []
+        callbacks = [
+            functools.partial(started.append, number) for number in range(4)
+        ]
+        queue = turn_queue.TurnQueue()
+        for callback in callbacks:
+            queue.add(callback)
+        for number in (0, 2, 2):
+            queue.discard(callbacks[number])
+        self.assertEqual(2, len(queue))
+        for _ in range(len(callbacks)):
+            await asyncio.sleep(0)
+        self.assertEqual([1, 3], started)
+        self.assertEqual(0, len(queue))
+
+    async def test_the_queue_goes_on_after_it_was_emptied(self):
+        started = []
+        queue = turn_queue.TurnQueue()
+        first = functools.partial(started.append, 'first')
+        queue.add(first)
+        queue.discard(first)
+        await asyncio.sleep(0)
+        queue.add(functools.partial(started.append, 'second'))
+        await asyncio.sleep(0)
+        self.assertEqual(['second'], started)
