Close the connections that send ahead before idle ones at a limit

New connections were answered.

At the bounds, idle connections were closed first. With such a crowd nearly all idle connections are those of ordinary callers, while the ones that fill the memory are busy.

The registry now knows which connections have requests that wait for an earlier answer. These are closed first, the one that holds the most before all others; then idle and busy ones as before.

Three of the four new rows of test_connection_registry need the new state; with the former order they close a, b and a.

--- a/jayflow/connection/connection_registry.py
+++ b/jayflow/connection/connection_registry.py
@@ -1,7 +1,12 @@
 """Register the client connections of all addresses and close the excess.
 
-Idle connections are closed before busy ones, the longest idle first; of the
-busy ones, the one that holds the most bytes is closed first.
+Answers two loads. Clients that send requests ahead of the answers fill the
+memory, also while they are many and come back as soon as they are closed:
+their connections are closed first, the one that holds the most bytes before
+all others, so that a caller that waits for each answer keeps its connection.
+Many clients that do so are more than the node can hold: then idle connections
+are closed before busy ones, the longest idle first; of the busy ones, the one
+that holds the most bytes is closed first.
 """
 
 import asyncio
@@ -22,6 +27,7 @@
 LOG_INTERVAL_S = 10.0
 # How many clients are told apart in the log.
 MAX_LOGGED_CLIENTS = 256
+_HELD_BYTES = operator.attrgetter('held_bytes')
 
 _log = logs.get_logger(logs.Component.CLIENTS)
 
@@ -66,12 +72,13 @@
         # The longest idle connection is the first.
         self._idle: dict[Connection, None] = {}
         self._busy: dict[Connection, None] = {}
+        self._ahead: dict[Connection, None] = {}
         self._unread_sweeps: dict[Connection, int] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._is_log_due = _LogSchedule()
 
     def __len__(self) -> int:
-        return len(self._idle) + len(self._busy)
+        return len(self._idle) + len(self._busy) + len(self._ahead)
 
     @property
     def idle_count(self) -> int:
@@ -89,55 +96,80 @@
             self._arm_sweep()
 
     def update(
-        self, connection: Connection, held_bytes: int, is_idle: bool
+        self,
+        connection: Connection,
+        held_bytes: int,
+        is_idle: bool,
+        sends_ahead: bool = False,
     ) -> None:
-        """Record what a connection holds, and keep to the limit on bytes."""
-        if connection not in self._idle and connection not in self._busy:
+        """Record what a connection holds, and keep to the limit on bytes.
+
+        A connection sends ahead while requests of it wait for an earlier
+        answer; it is idle while no request runs and nothing is to be written.
+        """
+        current = self._group_of(connection)
+        if current is None:
             return
         self.held_bytes += held_bytes - connection.held_bytes
         connection.held_bytes = held_bytes
-        if is_idle != (connection in self._idle):
-            self._idle.pop(connection, None)
-            self._busy.pop(connection, None)
-            (self._idle if is_idle else self._busy)[connection] = None
+        if sends_ahead:
+            group = self._ahead
+        else:
+            group = self._idle if is_idle else self._busy
+        if group is not current:
+            del current[connection]
+            group[connection] = None
         self._enforce_bytes()
 
     def remove(self, connection: Connection) -> None:
         """Forget a connection that is closed, if it is registered."""
-        if connection in self._idle or connection in self._busy:
-            self._idle.pop(connection, None)
-            self._busy.pop(connection, None)
+        group = self._group_of(connection)
+        if group is not None:
+            del group[connection]
             self._unread_sweeps.pop(connection, None)
             self.held_bytes -= connection.held_bytes
 
+    def _group_of(self, connection: Connection) -> dict | None:
+        for group in (self._idle, self._busy, self._ahead):
+            if connection in group:
+                return group
+        return None
+
     def _enforce_bytes(self) -> None:
         if self.held_bytes <= self.limits.held_bytes:
             return
-        target_bytes = self.limits.held_bytes * TARGET_SHARE
+        target_bytes = int(self.limits.held_bytes * TARGET_SHARE)
+        self._close_largest(self._ahead, target_bytes)
         while self._idle and self.held_bytes > target_bytes:
             self._close(next(iter(self._idle)), CloseReason.BYTES)
-        if self.held_bytes <= target_bytes:
-            return
+        self._close_largest(self._busy, target_bytes)
+
+    def _close_largest(
+        self, group: dict[Connection, None], target_bytes: int
+    ) -> None:
+        """Close connections of a group, the largest first, until they fit."""
         excess_bytes = self.held_bytes - target_bytes
-        mean_bytes = self.held_bytes / len(self._busy)
+        if excess_bytes <= 0 or not group:
+            return
         # The largest ones hold at least the mean.
+        mean_bytes = max(1, sum(map(_HELD_BYTES, group)) / len(group))
         count = int(excess_bytes / mean_bytes) + 1
-        for connection in heapq.nlargest(
-            count, self._busy, operator.attrgetter('held_bytes')
-        ):
+        for connection in heapq.nlargest(count, group, _HELD_BYTES):
             if self.held_bytes <= target_bytes:
                 return
             self._close(connection, CloseReason.BYTES)
 
     def _close_next(self, reason: CloseReason) -> None:
-        if self._idle:
+        if self._ahead:
+            self._close(max(self._ahead, key=_HELD_BYTES), reason)
+        elif self._idle:
             self._close(next(iter(self._idle)), reason)
         elif self._busy:
-            largest = max(self._busy, key=operator.attrgetter('held_bytes'))
-            self._close(largest, reason)
+            self._close(max(self._busy, key=_HELD_BYTES), reason)
 
     def _close(self, connection: Connection, reason: CloseReason) -> None:
         is_idle = connection in self._idle
+        sends_ahead = connection in self._ahead
         self.remove(connection)
         connection.abort()
         self._metrics.count_event(reason.value)
@@ -148,6 +180,7 @@
                 client=connection.client_host,
                 reason=reason.value.value,
                 idle=is_idle,
+                sends_ahead=sends_ahead,
                 held_bytes=connection.held_bytes,
                 connections=len(self),
                 all_held_bytes=self.held_bytes,
@@ -165,7 +198,7 @@
         could not write either.
         """
         max_sweeps = connection_limits.UNREAD_TIMEOUT_S / SWEEP_INTERVAL_S
-        for connection in [*self._idle, *self._busy]:
+        for connection in [*self._idle, *self._busy, *self._ahead]:
             if not connection.is_unread():
                 self._unread_sweeps.pop(connection, None)
                 continue
--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -238,9 +238,18 @@
         for waiting, _ in self.pipeline:
             held_bytes += WAITING_REQUEST_BYTES + len(waiting.body)
         self.registry.update(
-            self, held_bytes, not is_busy and not written_bytes
+            self,
+            held_bytes,
+            not is_busy and not written_bytes,
+            self._sends_ahead(),
         )
 
+    def _sends_ahead(self) -> bool:
+        """Return whether requests wait for the answer to an earlier one."""
+        if self.pipeline or self._next is not None:
+            return True
+        return self._is_reading_head and bool(self._unparsed)
+
     def _waiting_response_bytes(self) -> int:
         """Return how much of a response may wait in the application.
 
--- a/tests/connection/test_connection_registry.py
+++ b/tests/connection/test_connection_registry.py
@@ -23,7 +23,7 @@
     (256.5, 1000.0, 533, 144.375),
 ]
 # Title, limits on connections and bytes, connections as (name, held bytes, is
-# idle), and the names of those that are closed, in this order.
+# idle, sends ahead), and the names of those that are closed, in this order.
 CLOSE_CASES = [
     (
         'longest idle first',
@@ -55,6 +55,45 @@
         [('a', 20, False), ('b', 40, False), ('c', 50, False)],
         ['c'],
     ),
+    (
+        'sends ahead before the longest idle',
+        (3, MB),
+        [
+            ('a', 1, True),
+            ('b', 9, False),
+            ('c', 1, False, True),
+            ('d', 1, True),
+        ],
+        ['c'],
+    ),
+    (
+        'bytes: sends ahead before a larger busy one and idle ones',
+        (9, 100),
+        [
+            ('a', 5, True),
+            ('b', 60, False),
+            ('c', 20, False, True),
+            ('d', 20, False),
+        ],
+        ['c'],
+    ),
+    (
+        'bytes: the largest that sends ahead, then the next',
+        (9, 100),
+        [
+            ('a', 50, False),
+            ('b', 10, False, True),
+            ('c', 20, False, True),
+            ('d', 40, False),
+        ],
+        ['c', 'b'],
+    ),
+    (
+        'bytes: no longer ahead',
+        (9, 100),
+        [('a', 5, False, True), ('a', 5, True), ('b', 96, False)],
+        ['a', 'b'],
+    ),
     ('at the limits', (2, 100), [('a', 50, False), ('b', 50, True)], []),
 ]
 
@@ -101,14 +140,21 @@
                 registry = connection_registry.ConnectionRegistry(
                     connection_limits.ConnectionLimits(*limits), metrics
                 )
-                for name, held_bytes, is_idle in rows:
-                    connection = FakeConnection(name, closed)
-                    registry.add(connection)
-                    registry.update(connection, held_bytes, is_idle)
+                connections = {}
+                for name, *state in rows:
+                    if name not in connections:
+                        connections[name] = FakeConnection(name, closed)
+                        registry.add(connections[name])
+                    registry.update(connections[name], *state)
                 self.assertEqual(expected, closed)
-                self.assertEqual(len(rows) - len(closed), len(registry))
+                self.assertEqual(len(connections) - len(closed), len(registry))
+                held_bytes = {name: state[0] for name, *state in rows}
                 self.assertEqual(
-                    sum(row[1] for row in rows if row[0] not in closed),
+                    sum(
+                        held_bytes[name]
+                        for name in connections
+                        if name not in closed
+                    ),
                     registry.held_bytes,
                 )
                 self.assertEqual(len(closed), metrics.counters.total())
