Return the memory of client connections that have gone

No object was left. The allocator keeps freed pieces all over the heap and gives back only what lies at its end: a trim by hand brought the three nodes to 54, 64 and 53 MB.

The registry of the connections now trims the heap once what they hold has fallen by 8 MB, at most every 10 s.

--- a/jayflow/connection/connection_registry.py
+++ b/jayflow/connection/connection_registry.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from jayflow.connection import connection_limits
+from jayflow.connection import heap
 from jayflow.connection import turn_queue
 from jayflow import logs
 from jayflow import metrics as metrics_module
@@ -76,6 +77,7 @@
         self._unread_sweeps: dict[Connection, int] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._is_log_due = _LogSchedule()
+        self._trims = heap.TrimSchedule()
 
     def __len__(self) -> int:
         return len(self._idle) + len(self._busy) + len(self._ahead)
@@ -136,6 +138,7 @@
         return None
 
     def _enforce_bytes(self) -> None:
+        self._trims.record(self.held_bytes)
         if self.held_bytes <= self.limits.held_bytes:
             return
         target_bytes = int(self.limits.held_bytes * TARGET_SHARE)
@@ -194,6 +197,7 @@
     def _sweep(self) -> None:
         """Close the connections whose clients have long read nothing.
 
+        Also return memory to the system once connections have freed much.
         Sweeps are counted instead of seconds: a process that was paused
         could not write either.
         """
@@ -206,8 +210,12 @@
             self._unread_sweeps[connection] = sweeps
             if sweeps >= max_sweeps:
                 self._close(connection, CloseReason.UNREAD)
+        if self._trims.is_due(
+            self.held_bytes, asyncio.get_running_loop().time()
+        ):
+            heap.trim()
         self._sweep_timer = None
-        if len(self):
+        if len(self) or self._trims.is_pending(self.held_bytes):
             self._arm_sweep()
 
 
