Parse one head at a time of the requests that were sent ahead

The node keeps at most 16 parsed requests of a connection beside the running one, at some 10 KB each. But it parsed slices of 512 bytes, and a slice holds up to 28 requests: 43 waited on a connection. Nor does a connection need 16: they run one after the other.

A slice now ends with the head that it completes, and 4 requests wait at most; the rest stays as received bytes. The slices of a turn are counted as well, since blank lines in a body make them short.

test_more_requests_waited_on_a_connection_than_the_limit failed before: 43, 38, 25 and 22 for a limit of 16. The decisions on whom to serve are as before.

--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 from typing import ClassVar
 
@@ -13,6 +12,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from jayflow.connection import connection_registry
+from jayflow.connection import http_flow
 from jayflow.connection import http_heads
 from jayflow.connection import http_hooks
 from jayflow.connection import messages
@@ -25,12 +25,14 @@
 WRITE_BUFFER_BYTES = 32 * 1024
 # Requests that a connection keeps while it serves an earlier one; each takes
 # some 10 KB, whatever its own size.
-MAX_PIPELINED = 16
+MAX_PIPELINED = 4
 PIPELINED_SLICE_BYTES = 512
 # Bytes with more lines than this are parsed a little per turn of the event
 # loop: 64 KB of requests or of chunks of one byte take 10 ms and more.
 MAX_LINES_AT_ONCE = 256
 PARSED_BYTES_PER_TURN = 4096
+# A slice is as short as a line of a body may be.
+PARSED_SLICES_PER_TURN = 32
 LINE_END = b'\r\n'
 # The parser accepts no other end of a head.
 HEAD_END = b'\n\r\n'
@@ -42,28 +44,6 @@
 FIELD_BYTES = 128
 
 
-class _FlowControl(flow_control.FlowControl):
-    """Read no more while the protocol must not receive more."""
-
-    def __init__(
-        self, transport: asyncio.Transport, is_held: Callable[[], bool]
-    ) -> None:
-        super().__init__(transport)
-        self._is_held = is_held
-
-    def resume_reading(self) -> None:
-        if not self._is_held():
-            super().resume_reading()
-
-    def release(self) -> None:
-        """Forget the protocol, which refers to this object."""
-        self._is_held = _always
-
-
-def _always() -> bool:
-    return True
-
-
 class ClientProtocol(http_heads.HeadProtocol):
     """Limit a client's connection and report its loss."""
 
@@ -83,7 +63,7 @@
         super().connection_made(transport)
         transport.max_size = MAX_READ_BYTES
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        self.flow = _FlowControl(transport, self._is_reading_held)
+        self.flow = http_flow.FlowControl(transport, self._is_reading_held)
         self._answers = unread_answers.UnreadAnswers(transport)
         self.client_host = self.client[0] if self.client else ''
         self._apply_limits()
@@ -209,15 +189,25 @@
         """Parse some of what was received, while few requests wait."""
         self._has_turn = False
         end = self._parsed_bytes + PARSED_BYTES_PER_TURN
-        while self._parsed_bytes < end and self._can_parse():
+        for _ in range(PARSED_SLICES_PER_TURN):
+            if self._parsed_bytes >= end or not self._can_parse():
+                break
             start = self._parsed_bytes
-            self._parsed_bytes += PIPELINED_SLICE_BYTES
+            self._parsed_bytes = self._slice_end(start)
             self._parse(self._unparsed[start : self._parsed_bytes])
         if self._parsed_bytes >= len(self._unparsed):
             self._unparsed = b''
             self._parsed_bytes = 0
         self._continue_reading()
 
+    def _slice_end(self, start: int) -> int:
+        """Return the end of a slice that completes at most one head."""
+        stop = start + PIPELINED_SLICE_BYTES
+        # The end of a head may have begun in the last slice.
+        first = max(0, start - len(HEAD_END) + 1)
+        head_end = self._unparsed.find(HEAD_END, first, stop)
+        return stop if head_end < 0 else head_end + len(HEAD_END)
+
     def _record_held(self) -> None:
         """Tell the registry what the connection makes the node keep."""
         cycle = self.cycle
--- a/tests/connection/test_parsing_turns.py
+++ b/tests/connection/test_parsing_turns.py
@@ -47,11 +47,23 @@
         [b'\r\n' * 20_000, b''],
     ),
 ]
+BODY_OF_ONE = HEAD + b'content-length: 1\r\n\r\ny'
+CHUNK_OF_ONE = CHUNKED + b'1\r\ny\r\n0\r\n\r\n'
+# Title and what is repeated behind a request that still runs.
+AHEAD_CASES = [
+    ('short heads', b'GET / HTTP/1.1\r\n\r\n'),
+    ('empty lines between heads', b'\r\n\r\nGET / HTTP/1.1\r\n\r\n'),
+    ('bodies', BODY_OF_ONE),
+    ('chunked bodies', CHUNK_OF_ONE),
+    ('long heads', HEAD + b'x: ' + b'y' * 1000 + b'\r\n\r\n'),
+]
 
 
 class ParsingTurnsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.bodies = []
+        self.is_released = asyncio.Event()
+        self.is_released.set()
 
         async def app(scope, receive, send):
             body, more = b'', True
@@ -60,6 +72,7 @@
                 body += message['body']
                 more = message['more_body']
             self.bodies.append(body)
+            await self.is_released.wait()
             start = {'type': 'http.response.start', 'status': 200}
             await send(start | {'headers': [(b'content-length', b'2')]})
             await send({'type': 'http.response.body', 'body': b'ok'})
@@ -110,3 +123,34 @@
             await reader.readuntil(b'\r\n\r\nok')
         writer.close()
         self.assertLessEqual(max(parsed), 2048)
+
+    async def test_more_requests_waited_on_a_connection_than_the_limit(self):
+        waiting = []
+        original = http_protocol.ClientProtocol._parse
+
+        def count(protocol, data):
+            original(protocol, data)
+            waiting.append(len(protocol.pipeline))
+
+        http_protocol.ClientProtocol._parse = count
+        self.addCleanup(
+            setattr, http_protocol.ClientProtocol, '_parse', original
+        )
+        for title, repeated in AHEAD_CASES:
+            with self.subTest(title):
+                waiting.clear()
+                self.is_released.clear()
+                count = max(60, 20_000 // len(repeated))
+                reader, writer = await asyncio.open_connection(
+                    local_cluster.HOST, self.port
+                )
+                writer.write(repeated * count)
+                async with asyncio.timeout(TIMEOUT_S):
+                    while max(waiting, default=0) == 0:
+                        await asyncio.sleep(0.01)
+                    await asyncio.sleep(0.1)
+                    self.is_released.set()
+                    for _ in range(count):
+                        await reader.readuntil(b'\r\n\r\nok')
+                writer.close()
+                self.assertLessEqual(max(waiting), http_protocol.MAX_PIPELINED)
