--- a/jayflow/connection/heap.py
+++ b/jayflow/connection/heap.py
@@ -7,11 +7,15 @@
 import functools
 import math
 
+from jayflow import logs
+
 MB = 1024 * 1024
 # A collapse of the held bytes by this much is worth the pause of a trim.
 MIN_FALL_BYTES = 8 * MB
 MIN_INTERVAL_S = 10.0
 
+_log = logs.get_logger(logs.Component.CLIENTS)
+
 
 class TrimSchedule:
     """Decide when to trim from the bytes that connections hold."""
@@ -38,7 +42,7 @@
 
 
 def trim() -> None:
-    """Return freed memory; do nothing with an allocator other than glibc."""
+    """Return freed memory, if the allocator has a call for it."""
     malloc_trim = _find_malloc_trim()
     if malloc_trim is not None:
         malloc_trim(0)
@@ -47,6 +51,10 @@
 @functools.cache
 def _find_malloc_trim():
     # Most nodes never trim, and the module takes memory.
-    import ctypes
+    try:
+        import ctypes
 
-    return getattr(ctypes.CDLL(None), 'malloc_trim', None)
+        return getattr(ctypes.CDLL(None), 'malloc_trim', None)
+    except (ImportError, OSError, MemoryError) as exc:
+        _log.warning('Freed memory is not returned.', error=repr(exc))
+        return None
--- a/tests/connection/test_heap.py
+++ b/tests/connection/test_heap.py
@@ -3,7 +3,10 @@
 The memory that a crowd had used stayed with the node after it had left.
 """
 
+import sys
+import types
 import unittest
+from unittest import mock
 
 from jayflow.connection import heap
 
@@ -37,5 +40,25 @@
 
 
 class TrimTest(unittest.TestCase):
-    def test_trim_works_with_any_allocator(self):
+    def setUp(self):
+        heap._find_malloc_trim.cache_clear()
+        self.addCleanup(heap._find_malloc_trim.cache_clear)
+
+    def test_a_trim_failed_where_the_allocator_has_no_call_for_it(self):
+        cases = [
+            ('no ctypes', None),
+            ('not glibc', lambda name: object()),
+            ('no library', mock.Mock(side_effect=OSError)),
+            ('no memory', mock.Mock(side_effect=MemoryError)),
+        ]
+        for title, cdll in cases:
+            module = cdll and types.SimpleNamespace(CDLL=cdll)
+            with (
+                self.subTest(title),
+                mock.patch.dict(sys.modules, {'ctypes': module}),
+            ):
+                heap._find_malloc_trim.cache_clear()
+                heap.trim()
+
+    def test_trim(self):
         heap.trim()
