--- a/jayflow/connection/connection_registry.py
+++ b/jayflow/connection/connection_registry.py
@@ -1,10 +1,10 @@
 """Register the client connections of all addresses and close the excess.
 
 Answers two loads. Clients that send requests ahead of the answers fill the
-memory, also while they are many and come back as soon as they are closed:
-their connections are closed first, the one that holds the most bytes before
-all others, so that a caller that waits for each answer keeps its connection.
-Many clients that do so are more than the node can hold: then idle connections
+memory and come back as soon as they are closed. Their connections are closed
+first, the one that holds the most bytes before all others, so that a caller
+that waits for each answer keeps its connection. The second load is more
+clients than the node can hold, none of which sends ahead: idle connections
 are closed before busy ones, the longest idle first; of the busy ones, the one
 that holds the most bytes is closed first.
 """
--- a/jayflow/connection/heap.py
+++ b/jayflow/connection/heap.py
@@ -10,8 +10,9 @@
 from jayflow import logs
 
 MB = 1024 * 1024
-# A collapse of the held bytes by this much is worth the pause of a trim.
+# A trim stops the event loop for some ms; a smaller fall is not worth it.
 MIN_FALL_BYTES = 8 * MB
+# The least time between two trims.
 MIN_INTERVAL_S = 10.0
 
 _log = logs.get_logger(logs.Component.CLIENTS)
--- a/jayflow/connection/http_protocol.py
+++ b/jayflow/connection/http_protocol.py
@@ -31,7 +31,7 @@
 # loop: 64 KB of requests or of chunks of one byte take 10 ms and more.
 MAX_LINES_AT_ONCE = 256
 PARSED_BYTES_PER_TURN = 4096
-# A slice is as short as a line of a body may be.
+# Slices end at blank lines, so that bytes alone don't bound their number.
 PARSED_SLICES_PER_TURN = 32
 LINE_END = b'\r\n'
 # The parser accepts no other end of a head.
--- a/tests/process/test_client_crowds.py
+++ b/tests/process/test_client_crowds.py
@@ -151,18 +151,6 @@
 BLOCK_BYTES = 64 * 1024
 
 
-def _template(ready: int, metrics: int) -> str:
-    """Return the template of settings with all addresses and low limits."""
-    host = local_cluster.HOST
-    return local_cluster.SETTINGS_TEMPLATE.replace(
-        '[platform]', f'ready = {host}:{ready}\n\n[platform]'
-    ) + (
-        f'[metrics]\naddress = {host}:{metrics}\n'
-        f'[limits]\nmemory-mb = {MEMORY_MB}\n'
-        f'max-descriptors = {MAX_DESCRIPTORS}\n'
-    )
-
-
 class ClientCrowdsTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
@@ -265,9 +253,12 @@
     def _started_node(self):
         """Yield a new node and its ports by address, then end it."""
         ready, metrics = local_cluster.reserve_ports(2)
-        node = self.cluster.start_nodes(1, template=_template(ready, metrics))[
-            0
-        ]
+        node = self.cluster.start_nodes(
+            1,
+            template=uncontrolled_clients.settings_template(
+                ready, metrics, MEMORY_MB, MAX_DESCRIPTORS
+            ),
+        )[0]
         try:
             local_cluster.wait_until(lambda: node.server_count() == 1)
             yield (
--- a/tests/process/test_uncontrolled_clients.py
+++ b/tests/process/test_uncontrolled_clients.py
@@ -119,18 +119,6 @@
 ]
 
 
-def _template(ready: int, metrics: int) -> str:
-    """Return the template of settings with all addresses and low limits."""
-    host = local_cluster.HOST
-    return local_cluster.SETTINGS_TEMPLATE.replace(
-        '[platform]', f'ready = {host}:{ready}\n\n[platform]'
-    ) + (
-        f'[metrics]\naddress = {host}:{metrics}\n'
-        f'[limits]\nmemory-mb = {MEMORY_MB}\n'
-        f'max-descriptors = {MAX_DESCRIPTORS}\n'
-    )
-
-
 class UncontrolledClientsTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
@@ -170,9 +158,12 @@
     def _check(self, case: Case) -> None:
         """Run a crowd against a new node, then send an ordinary request."""
         ready, metrics = local_cluster.reserve_ports(2)
-        node = self.cluster.start_nodes(1, template=_template(ready, metrics))[
-            0
-        ]
+        node = self.cluster.start_nodes(
+            1,
+            template=uncontrolled_clients.settings_template(
+                ready, metrics, MEMORY_MB, MAX_DESCRIPTORS
+            ),
+        )[0]
         ports = {
             'callers': node.http_port,
             'ready': ready,
--- a/tests/process/uncontrolled_clients.py
+++ b/tests/process/uncontrolled_clients.py
@@ -100,6 +100,20 @@
             self._send_later()
 
 
+def settings_template(
+    ready: int, metrics: int, memory_mb: int, max_descriptors: int
+) -> str:
+    """Return the template of settings with all addresses and low limits."""
+    host = local_cluster.HOST
+    return local_cluster.SETTINGS_TEMPLATE.replace(
+        '[platform]', f'ready = {host}:{ready}\n\n[platform]'
+    ) + (
+        f'[metrics]\naddress = {host}:{metrics}\n'
+        f'[limits]\nmemory-mb = {memory_mb}\n'
+        f'max-descriptors = {max_descriptors}\n'
+    )
+
+
 def run_crowd(
     pattern: Pattern,
     ports: list[int],
