--- a/tests/process/test_controlled_clients.py
+++ b/tests/process/test_controlled_clients.py
@@ -23,16 +23,22 @@
     ('long heads', GET + HEADER + b'\r\n', 1),
     ('pipelined requests', (GET + b'\r\n') * 4, 4),
     ('bodies', POST + b'content-length: 1000000\r\n\r\n' + BODY, 1),
-    (
-        'large responses',
-        GET.replace(b'/x', b'/x?bytes=1000000') + b'\r\n',
-        1,
-    ),
 ]
+LARGE_RESPONSES = (
+    'large responses',
+    GET.replace(b'/x', b'/x?bytes=1000000') + b'\r\n',
+    1,
+)
 
 
 class ControlledClientsTest(unittest.TestCase):
     def test_clients_within_the_limits_were_disconnected(self):
+        self._check(CASES)
+
+    def test_large_responses_within_the_limits_were_cut_off(self):
+        self._check([LARGE_RESPONSES])
+
+    def _check(self, cases):
         template = local_cluster.SETTINGS_TEMPLATE + (
             f'[limits]\nmemory-mb = {MEMORY_MB}\n'
             f'max-descriptors = {MAX_DESCRIPTORS}\n'
@@ -43,7 +49,7 @@
             node = cluster.start_nodes(1, template=template)[0]
             cluster.publish()
             cluster.wait_for_servers(1)
-            for title, data, answers in CASES:
+            for title, data, answers in cases:
                 with self.subTest(title):
                     counts = asyncio.run(_send_all(node.http_port, data))
                     self.assertEqual([answers] * CLIENTS, counts)
