Let the test of closed connections serve its requests

The application of test_closed_connections was a bound method, which uvicorn takes for an older kind of application: each request was answered with 500 and the connection closed. Found by a mutation that no test noticed: nothing checked that the protocol tells the registry which connections send ahead.

The application is a function now, and a test closes one of two connections at a limit.

--- a/tests/connection/test_closed_connections.py
+++ b/tests/connection/test_closed_connections.py
@@ -22,6 +22,7 @@
 REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 UPLOAD = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n'
 HELD = b'GET /held HTTP/1.1\r\nhost: x\r\n\r\n'
+SENT_AHEAD = HELD + REQUEST * 3000
 # Title and what is sent before the connection is closed.
 CASES = [
     ('no request', b''),
@@ -30,7 +31,7 @@
     ('answered request', REQUEST),
     ('part of a body', UPLOAD),
     ('running request', HELD),
-    ('requests sent ahead', HELD + REQUEST * 3000),
+    ('requests sent ahead', SENT_AHEAD),
     ('unread answers', REQUEST * 3000),
 ]
 
@@ -63,8 +64,13 @@
         self.registry = _Registry()
         self.is_released = asyncio.Event()
         self.port = local_cluster.reserve_ports(1)[0]
+
+        # uvicorn takes a bound method for an older kind of application.
+        async def app(scope, receive, send):
+            await self._serve(scope, receive, send)
+
         server = http_server.create(
-            self._serve, HOST, self.port, registry=self.registry
+            app, HOST, self.port, registry=self.registry
         )
         serving = asyncio.create_task(server.serve())
         self.addCleanup(serving.cancel)
@@ -129,3 +135,17 @@
                 self.registry.close_all()
                 await self._check_freed()
                 sock.close()
+
+    async def test_an_idle_caller_was_closed_before_one_that_sent_ahead(self):
+        loop = asyncio.get_running_loop()
+        idle = await self._connect(REQUEST)
+        self.addCleanup(idle.close)
+        await loop.sock_recv(idle, 4096)
+        ahead = await self._connect(SENT_AHEAD)
+        self.addCleanup(ahead.close)
+        await asyncio.sleep(0.1)
+        self.registry._close_next(connection_registry.CloseReason.CONNECTIONS)
+        self.assertEqual(1, len(self.registry))
+        async with asyncio.timeout(TIMEOUT_S):
+            await loop.sock_sendall(idle, REQUEST)
+            self.assertTrue(await loop.sock_recv(idle, 4096))
