Check keys when no team is left

Callers saw: after the operator removed the last tenant, requests with its withdrawn key, with a key that no configuration ever held and without any key ran.

Cause: the teams of a version were the only record of the table of tenants. An empty table and a missing one decoded to the same version, which needs no keys.

Change: a version says whether it requires keys; the adapter sets it if the table is there. In jayflow's own files, where a team is a section, `required` in [teams] says it; check and diff show what it does.

--- a/jayflow/platform/configuration.py
+++ b/jayflow/platform/configuration.py
@@ -154,6 +154,7 @@
                 },
                 route={route.name: _route(route) for route in routes},
                 team={tenant.name: _team(tenant) for tenant in tenants},
+                requires_keys=config.tenants is not None,
                 limits=_limits(config.limits),
                 # The platform bills traffic between regions by volume and
                 # sets no budget.
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -281,7 +281,7 @@
         # dropped, and must not drop the headers that the node sets.
         headers = http_headers.with_framing(headers, body.first, body.more)
         headers = self._dialect.caller_headers(headers, self._caller_service())
-        if version.objects.team:
+        if version.objects.has_keys:
             headers = self._dialect.team_headers(
                 headers, team.name if team else ''
             )
@@ -318,7 +318,7 @@
 
         None stands for a request that needs no key.
         """
-        if not version.objects.team or route.public:
+        if not version.objects.has_keys or route.public:
             return None
         name = self._dialect.credential
         key = http_headers.value_of(headers, name)
--- a/jayflow/version/diff.py
+++ b/jayflow/version/diff.py
@@ -10,6 +10,7 @@
 
 # The limits are one object without a name.
 LIMITS_KIND = 'limits'
+REQUIRED = 'required'
 KEY_DIGESTS = 'key-digests'
 DIGEST_PREFIX_LENGTH = 12
 
@@ -57,9 +58,27 @@
         changes.append(
             _object_change(LIMITS_KIND, '', old.limits, new.limits, effects)
         )
+    if old.requires_keys != new.requires_keys:
+        changes.append(_teams_change(old, new))
     return changes
 
 
+def _teams_change(
+    old: objects.ObjectSet, new: objects.ObjectSet
+) -> ObjectChange:
+    values = [
+        diff_effects.format_value(object_set.requires_keys)
+        for object_set in (old, new)
+    ]
+    return ObjectChange(
+        objects.TEAMS_KIND,
+        '',
+        ChangeKind.CHANGED,
+        (KeyChange(REQUIRED, *values),),
+        tuple(diff_effects.key_effects(old, new)),
+    )
+
+
 def _object_change(
     kind: str,
     name: str,
--- a/jayflow/version/diff_effects.py
+++ b/jayflow/version/diff_effects.py
@@ -64,6 +64,16 @@
     return list(_changed_limits(_CALLER_LIMITS, old, new))
 
 
+def key_effects(old: ObjectSet, new: ObjectSet) -> Iterator[str]:
+    """Yield what changes in which requests need a team's key."""
+    if new.has_keys and not old.has_keys:
+        yield 'routes that are not public now need a key'
+    if old.has_keys and not new.has_keys:
+        yield 'no route needs a key any more'
+    if new.has_keys and not new.team and (old.team or not old.has_keys):
+        yield 'no team is left; only public routes are served'
+
+
 def format_value(value: Any) -> str:
     """Return a value of a key as text."""
     match value:
@@ -195,10 +205,7 @@
         owner = _team_of_key(digest, old_set)
         source = f' of team {owner!r}' if owner else ''
         yield f'gains key {digest[:12]}{source}'
-    if not old_set.team:
-        yield 'routes that are not public now need a key'
-    if not new_set.team:
-        yield 'no route needs a key any more'
+    yield from key_effects(old_set, new_set)
     yield from _changed_limits(_TEAM_LIMITS, old, new)
     if old is not None and new is not None:
         yield from _region_effects(old, new, old_set, new_set)
--- a/jayflow/version/lint.py
+++ b/jayflow/version/lint.py
@@ -35,6 +35,13 @@
             for check in checks:
                 for key, text in check(obj, loaded.objects):
                     findings.add(section.location_of(key), text)
+    if loaded.objects.requires_keys and not loaded.objects.team:
+        section = loaded.sections[objects.TEAMS_KIND, '']
+        findings.add(
+            section.location_of('required'),
+            'there is no team; requests on routes that are not public are '
+            'refused',
+        )
     return findings
 
 
--- a/jayflow/version/objects.py
+++ b/jayflow/version/objects.py
@@ -255,8 +255,8 @@
 
     A split divides the requests among several services by weight. The
     service's policy applies unless the route names one. If the version has
-    teams, a request needs a team's key unless the route is public. Servers in
-    other regions than those named are not used.
+    teams or requires keys, a request needs a team's key unless the route is
+    public. Servers in other regions than those named are not used.
     """
 
     name: str
@@ -327,7 +327,8 @@
     """Hold all objects of one configuration version, by kind and name.
 
     Unless limits_links is false, traffic between regions is allowed only
-    within the budget of a link.
+    within the budget of a link. If requires_keys is true, requests need a
+    team's key even while no team is left that could hold one.
     """
 
     region: dict[RegionName, Region] = {}
@@ -339,6 +340,12 @@
     team: dict[TeamName, Team] = {}
     limits: Limits = Limits()
     limits_links: bool = True
+    requires_keys: bool = False
+
+    @property
+    def has_keys(self) -> bool:
+        """Return whether routes that are not public need a team's key."""
+        return self.requires_keys or bool(self.team)
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path."""
@@ -375,6 +382,11 @@
         return None
 
 
+# The section without a name that holds for all teams.
+TEAMS_KIND = 'teams'
+TEAMS_FIELDS: tuple[Field, ...] = (
+    Field('required', value_parsers.yes_or_no, False),
+)
 OBJECT_TYPES: dict[str, type[_Object]] = {
     'region': Region,
     'data_centre': DataCentre,
--- a/jayflow/version/validation.py
+++ b/jayflow/version/validation.py
@@ -44,7 +44,10 @@
         for section in inifile.parse(file, text, findings)
     ]
     objects_by_kind, sections_by_object = _build_objects(sections, findings)
-    all_objects = objects.ObjectSet(**objects_by_kind)
+    requires_keys = _parse_teams_section(sections_by_object, findings)
+    all_objects = objects.ObjectSet(
+        **objects_by_kind, requires_keys=requires_keys
+    )
     if not findings:
         _check_references(all_objects, sections_by_object, findings)
         _check_consistency(all_objects, sections_by_object, findings)
@@ -60,22 +63,35 @@
     }
     sections_by_object: SectionsByObject = {}
     for section in sections:
+        is_teams = section.title == objects.TEAMS_KIND
         object_type = objects.OBJECT_TYPES.get(section.kind)
-        if object_type is None:
+        if object_type is None and not is_teams:
             findings.add(section.location, f'unknown kind {section.kind!r}')
             continue
+        if (section.kind, section.name) in sections_by_object:
+            findings.add(section.location, 'duplicate object')
+        sections_by_object[section.kind, section.name] = section
+        if object_type is None:
+            continue
         try:
             value_parsers.object_name(section.name)
         except ValueError as exc:
             findings.add(section.location, f'name: {exc}')
-        if (section.kind, section.name) in sections_by_object:
-            findings.add(section.location, 'duplicate object')
-        sections_by_object[section.kind, section.name] = section
         obj = object_type.from_section(section, findings)
         objects_by_kind[section.kind][section.name] = obj
     return objects_by_kind, sections_by_object
 
 
+def _parse_teams_section(
+    sections_by_object: SectionsByObject, findings: diagnostics.Findings
+) -> bool:
+    """Return whether requests need a key although there is no team."""
+    section = sections_by_object.get((objects.TEAMS_KIND, ''))
+    if section is None:
+        return False
+    return section.parse_fields(objects.TEAMS_FIELDS, findings)['required']
+
+
 def _check_references(
     all_objects: objects.ObjectSet,
     sections_by_object: SectionsByObject,
--- a/tests/request/test_credentials.py
+++ b/tests/request/test_credentials.py
@@ -60,6 +60,11 @@
         platform_headers.DIALECT,
         **callables,
     )
+    return build_with(app, rows)
+
+
+def build_with(app: ingress.Ingress, rows: messages.Headers):
+    """Return what an ingress makes of a request with these headers."""
     scope = {
         'method': 'GET',
         'path': '/',
--- a/tests/version/test_diff.py
+++ b/tests/version/test_diff.py
@@ -45,6 +45,8 @@
 path = /shop
 service = s
 """
+TEAMS = OLD[OLD.index('[team t]') :]
+REQUIRED = '[teams]\nrequired = yes\n'
 # Title, text, replacement, and the lines of the report.
 CASES = [
     (
@@ -190,6 +192,41 @@
             '    => for routes: none',
         ],
     ),
+    (
+        'the last team leaves',
+        TEAMS,
+        '',
+        [
+            '- [team t] removed',
+            '    => loses key aaaaaaaaaaaa: requests with it are refused',
+            '    => no route needs a key any more',
+            '- [team u] removed',
+            '    => loses key bbbbbbbbbbbb: requests with it are refused',
+            '    => no route needs a key any more',
+        ],
+    ),
+    (
+        'the last team leaves and keys stay required',
+        TEAMS,
+        REQUIRED,
+        [
+            '- [team t] removed',
+            '    => loses key aaaaaaaaaaaa: requests with it are refused',
+            '    => no team is left; only public routes are served',
+            '- [team u] removed',
+            '    => loses key bbbbbbbbbbbb: requests with it are refused',
+            '    => no team is left; only public routes are served',
+            '~ [teams] changed',
+            '    required: no -> yes',
+            '    => no team is left; only public routes are served',
+        ],
+    ),
+    (
+        'keys are required beside teams that need them anyway',
+        TEAMS,
+        TEAMS + REQUIRED,
+        ['~ [teams] changed', '    required: no -> yes'],
+    ),
     ('nothing', SHOP, SHOP, []),
 ]
 
@@ -222,6 +259,18 @@
             '    => routes that are not public now need a key', lines
         )
 
+    def test_keys_that_are_no_longer_required(self):
+        old = objects.ObjectSet(requires_keys=True)
+        changes = diff.compare(old, objects.ObjectSet())
+        self.assertEqual(
+            [
+                '~ [teams] changed',
+                '    required: yes -> no',
+                '    => no route needs a key any more',
+            ],
+            diff.format_lines(changes),
+        )
+
     def test_limits_of_callers(self):
         old = _load(OLD)
         new = objects.ObjectSet(limits=objects.Limits(body_bytes=100))
--- a/tests/version/test_lint.py
+++ b/tests/version/test_lint.py
@@ -165,6 +165,15 @@
         self.assertIn("[team t] the team has no key, like 'u'", lines[0])
         self.assertIn("[team u] the team has no key, like 't'", lines[1])
 
+    def test_required_keys_without_a_team(self):
+        teams = VALID[VALID.index('[team t]') :]
+        text = VALID.replace(teams, '[teams]\nrequired = yes\n')
+        lines = _lines(text)
+        self.assertEqual(1, len(lines), lines)
+        self.assertTrue(lines[0].startswith('f.ini:26: [teams] '), lines)
+        self.assertIn('there is no team', lines[0])
+        self.assertEqual([], _lines(VALID + '[teams]\nrequired = yes\n'))
+
     def test_no_warnings(self):
         self.assertEqual([], _lines(VALID))
 
--- a/tests/version/test_validation.py
+++ b/tests/version/test_validation.py
@@ -35,6 +35,27 @@
     ('one region', 'regions = a, b', 'regions = a', 12, 'two different'),
     ('not a key', '[region b]', '[region b]\nrubbish', 3, 'not a key'),
     ('name', '[region b]', '[region B!]', 2, 'name: expected a name'),
+    (
+        'teams',
+        '[region b]',
+        '[region b]\n[teams]\nx = y',
+        4,
+        "unknown key 'x'",
+    ),
+    (
+        'named teams',
+        '[region b]',
+        '[region b]\n[teams x]',
+        3,
+        "unknown kind 'teams'",
+    ),
+    (
+        'required',
+        '[region b]',
+        '[region b]\n[teams]\nrequired = maybe',
+        4,
+        'expected yes or no',
+    ),
     ('choice', '[policy p]', '[policy p]\nrequest-class = x', 6, 'one of'),
     (
         'time',
@@ -80,8 +101,19 @@
             with self.subTest(path.name):
                 validation.load_objects([(path.name, path.read_text('utf-8'))])
 
+    def test_required_keys_in_two_files(self):
+        text = '[teams]\nrequired = yes\n'
+        with self.assertRaises(ExceptionGroup) as caught:
+            validation.load_objects([('f.ini', text), ('g.ini', text)])
+        self.assertEqual(
+            ['g.ini:1: [teams] duplicate object'],
+            findings.format_group(caught.exception),
+        )
+
     def test_parts_round_trip(self):
-        all_objects = validation.load_objects([('f.ini', VALID)])
+        text = VALID + '[teams]\nrequired = yes\n'
+        all_objects = validation.load_objects([('f.ini', text)])
+        self.assertTrue(all_objects.requires_keys)
         parts = snapshot.encode_parts(all_objects)
         manifest = snapshot.Manifest(7, tuple(parts), 'mark', 'me')
         decoded = snapshot.Version.from_parts(manifest, list(parts.values()))
