Run a job only on the server that accepted it

What callers saw: a server fell silent and one of another service got its address.

Cause: a job took the identity of the server that was announced when it left the queue, while its service was checked when it arrived.

Change: a job is bound to the server that it is accepted for. Queued jobs are refused as not run when that server is replaced or stops serving their service; the server is checked again before and after a connection is made. Each server has its own pool, as a silent one keeps its connections open. Polls, closed connections, 421 and crashes count only for the server that they belong to.

--- a/jayflow/platform/headers.py
+++ b/jayflow/platform/headers.py
@@ -91,6 +91,7 @@
 DIALECT = header_dialect.HeaderDialect(
     request_id=protocol.REQUEST_ID,
     expected_instance=protocol.EXPECTED_INSTANCE,
+    instance=protocol.INSTANCE_ID,
     caller_service=protocol.CALLER_SERVICE,
     credential=protocol.CREDENTIAL,
     team=protocol.TENANT,
--- a/jayflow/platform/protocol.py
+++ b/jayflow/platform/protocol.py
@@ -7,6 +7,7 @@
 REQUEST_ID = b'jayflow-request-id'
 SIGNATURE = b'jayflow-server-signature'
 EXPECTED_INSTANCE = b'jayflow-expected-instance'
+INSTANCE_ID = b'jayflow-instance-id'
 NOT_EXECUTED = b'jayflow-not-executed'
 SERVER_LOAD = b'jayflow-server-load'
 SERVER_LIMIT = b'server-limit'
--- a/jayflow/request/backend_server.py
+++ b/jayflow/request/backend_server.py
@@ -57,16 +57,14 @@
         self.pool: backend_client.Pool | None = None
         self._clock = clock
         self._dialect = dialect
-        self._concurrency_limit = (
-            concurrency_limit.ConcurrencyLimit() if is_adaptive else None
-        )
+        self._is_adaptive = is_adaptive
         self.cold = cold_limit.ColdLimit()
         self.cold_rate_of: Callable[
             [tuple[objects.ServiceName, ...]], float
         ] = lambda services: 0.0
         self._was_cold = False
         self.rate_limit = rate_limit.RateLimit(self.cold)
-        self._slowdowns = slowdowns.SlowdownTracker()
+        self._start_learning()
         self._log = logs.get_logger(logs.Component.EXECUTOR)
 
     @property
@@ -98,11 +96,15 @@
         """Record an announcement; replace the pool if the address changed."""
         previous, now = self.announcement, self._clock()
         self.announcement, self.announced_at = server_announcement, now
-        self.services = server_announcement.services
+        if self.services != server_announcement.services:
+            self.services = server_announcement.services
+            self._start_learning()
         if self._incarnation != server_announcement.incarnation:
             self._incarnation = server_announcement.incarnation
             self.rate_limit = rate_limit.RateLimit(self.cold)
             self.has_responded = False
+            # Connections to a server that fell silent stay open.
+            self._replace_pool(None)
         cold_s = server_announcement.cold_s
         is_first = (
             previous is None
@@ -125,6 +127,13 @@
         if self.pool is None or (self.pool.host, self.pool.port) != address:
             self._replace_pool(backend_client.Pool(*address, self._dialect))
 
+    def _start_learning(self) -> None:
+        """Forget what was learned from the requests of other services."""
+        self._slowdowns = slowdowns.SlowdownTracker()
+        self._concurrency_limit = (
+            concurrency_limit.ConcurrencyLimit() if self._is_adaptive else None
+        )
+
     def withdraw(self) -> None:
         """Drop the announcement and close the connections."""
         self.announcement = None
@@ -219,6 +228,18 @@
             job.running_at_start, service_s / expected_s
         )
 
+    def can_run(self, job: jobs.Job) -> bool:
+        """Return whether the server is the one that accepted a job.
+
+        A server may also stop serving one of its services.
+        """
+        announced = self.announcement
+        return (
+            announced is not None
+            and announced.incarnation == job.server
+            and job.start.service in announced.services
+        )
+
     async def acquire_connection(
         self, job: jobs.Job
     ) -> backend_client.Connection:
@@ -228,7 +249,6 @@
                 backend_client.ConnectionFault.REFUSED, sent=False
             )
         job.pool = self.pool
-        job.server = self.announcement.incarnation
         return await job.pool.acquire(job.start.is_idempotent)
 
     async def poll(self, path: str) -> messages.Headers:
--- a/jayflow/request/decisions/admission.py
+++ b/jayflow/request/decisions/admission.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+from collections.abc import Collection
 import dataclasses
 import math
 from typing import Generic, NamedTuple, TypeVar
@@ -248,6 +249,12 @@
         wait_s = self._wait_s(ahead, is_late, now)
         return now + wait_s > queued_request.expires_at
 
+    def remove_all(self, items: Collection[Item]) -> list[Item]:
+        """Remove waiting requests; return those that were queued."""
+        removed = [row.item for row in self._queue if row.item in items]
+        self._queue = [row for row in self._queue if row.item not in items]
+        return removed
+
     def remove(self, item: Item) -> bool:
         """Remove a waiting request; return whether it was queued."""
         length_before = len(self._queue)
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -153,7 +153,9 @@
         """Request the server's load; raise BackendError without a response."""
         announced = self.backend.announcement
         headers = await self.backend.poll(path)
-        if announced is not None:
+        if announced is not None and self.dialect.may_come_from(
+            announced.instance, headers
+        ):
             self._observe_server(
                 announced.incarnation, headers, may_end_limit=False
             )
@@ -197,6 +199,7 @@
         self.backend.announce(server_announcement)
         self._resize()
         if previous != server_announcement:
+            self._refuse_unserved()
             self.on_state_change()
         if server_announcement.draining:
             self._refuse_queued(Reason.DRAINING)
@@ -318,6 +321,7 @@
             self._refuse(start, reason, reply)
             return
         job = jobs.Job(start, reply, now)
+        job.server = self.backend.announcement.incarnation
         job.link_budget = self.link_budget_for(start.sender_data_centre)
         job.fingerprints = fingerprints
         job.is_suspect = bool(fingerprints) and (
@@ -453,7 +457,10 @@
             self._admission_queue.release_slot(
                 start.service, start.rank, elapsed_s
             )
-            if job.head_received_at is not None:
+            if (
+                job.head_received_at is not None
+                and self.backend.incarnation == job.server
+            ):
                 self.backend.update_concurrency_limit(job, elapsed_s)
                 self._resize()
             self._start_queued()
@@ -467,12 +474,9 @@
             self._refuse(start, Reason.QUARANTINED, job.reply)
             job.is_closed = True
             return
-        try:
-            conn = await self.backend.acquire_connection(job)
-        except backend_client.BackendError:
-            self._refuse(start, Reason.SERVER_UNREACHABLE, job.reply)
+        conn = await self._acquire_connection(job)
+        if conn is None:
             job.is_closed = True
-            self.remove_server()
             return
         if not self._attempt_registry.start(start.attempt):
             job.pool.release(conn)
@@ -494,7 +498,7 @@
             self._send_refusal(start, exc.reason, job.reply)
             job.is_closed = True
             if exc.reason is Reason.WRONG_INSTANCE:
-                self.remove_server()
+                self._remove_server_of(job)
         except backend_client.BackendError as exc:
             conn.prevent_reuse()
             await self._report_failure(job, exc)
@@ -513,6 +517,29 @@
         finally:
             job.pool.release(conn)
 
+    async def _acquire_connection(
+        self, job: jobs.Job
+    ) -> backend_client.Connection | None:
+        """Return a connection to the server that a job was accepted for.
+
+        Returns None after refusing the job. Another server may take the place
+        of that one while a connection is made.
+        """
+        conn = None
+        if self.backend.can_run(job):
+            try:
+                conn = await self.backend.acquire_connection(job)
+            except backend_client.BackendError:
+                self._refuse(job.start, Reason.SERVER_UNREACHABLE, job.reply)
+                self._remove_server_of(job)
+                return None
+            if self.backend.can_run(job):
+                return conn
+            conn.prevent_reuse()
+            job.pool.release(conn)
+        self._refuse(job.start, Reason.NOT_SERVED_HERE, job.reply)
+        return None
+
     async def _exchange_with_server(
         self, job: jobs.Job, conn: backend_client.Connection
     ) -> None:
@@ -579,13 +606,14 @@
         if (
             exc.fault is backend_client.ConnectionFault.CLOSED
             and not job.head_received_at
+            and self.backend.incarnation == job.server
         ):
             running_requests = self.crash_tracker.running_at_crash(
-                job.server, self._running_fingerprints()
+                job.server, self._running_fingerprints(job.server)
             )
             if await crash_tracker.is_server_gone(self.backend.pool):
                 reason = Reason.SERVER_CRASHED
-                self.remove_server()
+                self._remove_server_of(job)
                 service = objects.ServiceName(job.start.service)
                 await self.crash_tracker.report_crash(
                     service, running_requests, job.is_exclusive
@@ -603,13 +631,14 @@
         job.end(messages.AttemptFailed, reason, self.load())
 
     def _running_fingerprints(
-        self,
+        self, server: messages.ServerIncarnation
     ) -> list[tuple[quarantine.Fingerprint, ...]]:
         return [
-            fingerprints
+            job.fingerprints
             for attempt in self._running
-            if attempt in self._jobs
-            and (fingerprints := self._jobs[attempt].fingerprints)
+            if (job := self._jobs.get(attempt))
+            and job.fingerprints
+            and job.server == server
         ]
 
     def _start_queued(self) -> None:
@@ -652,6 +681,22 @@
             job = self._jobs.pop(queued_request.item)
             self._refuse(job.start, reason, job.reply)
 
+    def _refuse_unserved(self) -> None:
+        """Refuse the queued jobs that the current server must not run."""
+        unserved = {
+            attempt
+            for attempt, job in self._jobs.items()
+            if not self.backend.can_run(job)
+        }
+        for attempt in self._admission_queue.remove_all(unserved):
+            job = self._jobs.pop(attempt)
+            self._refuse(job.start, Reason.NOT_SERVED_HERE, job.reply)
+
+    def _remove_server_of(self, job: jobs.Job) -> None:
+        """Drop the server of a job unless another one has replaced it."""
+        if self.backend.incarnation == job.server:
+            self.remove_server()
+
     def _resize(self) -> None:
         self._admission_queue.resize(
             self.backend.slots,
--- a/jayflow/request/header_dialect.py
+++ b/jayflow/request/header_dialect.py
@@ -61,6 +61,8 @@
 
     request_id: bytes | None = None
     expected_instance: bytes | None = None
+    # In responses to polls: the instance of the server that sends them.
+    instance: bytes | None = None
     caller_service: bytes | None = None
     # A caller's key, and the name of its team that backend servers get.
     credential: bytes = b'jayflow-team-key'
@@ -115,6 +117,13 @@
             return []
         return [(self.expected_instance, instance.encode())]
 
+    def may_come_from(self, instance: str, headers: messages.Headers) -> bool:
+        """Return whether a response names this instance, or none."""
+        if self.instance is None:
+            return True
+        value = http_headers.value_of(headers, self.instance)
+        return value is None or value == instance.encode()
+
     def caller_of(self, headers: messages.Headers) -> bytes:
         """Return the caller that the sender's node named, empty if none."""
         if self.caller_service is None:
