Notice a crash at any stage of a response

What callers saw: a request that crashes servers after the head of their response was sent on to all of them, and each took the requests that it was running with it.

Cause: a closed connection counted as a crash only if no head had arrived. The requests beside it, still without a head, reported the crash without the one that caused it. They stayed suspects although they ended well on other servers in the meantime, and servers that ended together counted once each against them.

Change: CrashDetector looks for a crash after a close at any stage. Whole responses are not counted, a request that ends well is cleared whenever it became a suspect, and a crash counts only for a request that started after the latest one that counted. A sender knows a crash in the middle of a response from a truncated one.

--- a/jayflow/connection/backend_client.py
+++ b/jayflow/connection/backend_client.py
@@ -132,6 +132,16 @@
         """Return whether any byte of the current request was written."""
         return self._sent
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the whole response has arrived."""
+        return self._is_complete
+
+    @property
+    def was_ended_by_close(self) -> bool:
+        """Return whether only the server's close marked the end."""
+        return self._is_complete and self._is_read_until_close
+
     def write_head(
         self,
         method: str,
--- a/jayflow/connection/messages.py
+++ b/jayflow/connection/messages.py
@@ -373,13 +373,15 @@
     Each request has one or two fingerprints (`quarantine`); `remaining_ms`
     is how long the report stays valid. A report with an empty `crash` clears
     its fingerprints of suspicion. The receiver acknowledges a report that
-    has an attempt id.
+    has an attempt id. `ran_ms` is for how long the latest request of each
+    fingerprint had been running.
     """
 
     crash: str
     fingerprints: list[bytes]
     remaining_ms: int
     attempt: AttemptId | None = None
+    ran_ms: list[int] | None = None
 
 
 class CrashRecord(msgspec.Struct, array_like=True):
--- a/jayflow/request/crash_tracker.py
+++ b/jayflow/request/crash_tracker.py
@@ -15,35 +15,31 @@
 
 import anyio
 
-from jayflow.connection import backend_client
 from jayflow.connection import member as members
 from jayflow.connection import messages
 from jayflow import logs
 from jayflow import metrics as metrics_module
+from jayflow.request import crash_window
 from jayflow.request.decisions import quarantine
 from jayflow.request import header_dialect
 from jayflow.request import headers as http_headers
 from jayflow.request import quarantine_record
 from jayflow.version import objects
 
-PROBE_COUNT = 3
-PROBE_INTERVAL_S = 0.02
 # Longer than a busy node takes to acknowledge a report; shorter than the time
 # after which a silent node gets no requests.
 BROADCAST_TIMEOUT_S = 1.0
 # Reports are repeated until they are acknowledged, so as many crashes are
 # remembered to count each only once.
 MAX_REMEMBERED_CRASHES = 256
-# Requests that break within this time belong to the same crash.
-CRASH_WINDOW_S = 0.5
 # Requests in one answer to a node that has just got a server.
 MAX_SENT_RECORDS = 1000
 # A log line holds this many fingerprints at most.
 MAX_LOGGED_FINGERPRINTS = 50
 
 Broadcast = Callable[[messages.CrashReport], Awaitable[None]]
-# The fingerprints of each request that is running.
-RunningRequests = frozenset[tuple[quarantine.Fingerprint, ...]]
+RunningRequests = crash_window.RunningRequests
+StartTimes = crash_window.StartTimes
 
 
 class CrashTracker:
@@ -67,9 +63,7 @@
         self._metrics = metrics
         self._clock = clock
         self._log = logs.get_logger(logs.Component.EXECUTOR)
-        self._running_at_crash: RunningRequests = frozenset()
-        self._window_end = 0.0
-        self._window_server: messages.ServerIncarnation | None = None
+        self._window = crash_window.CrashWindow()
         self._reported: anyio.Event | None = None
         self._handled: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_CRASHES
@@ -108,19 +102,35 @@
         self,
         server: messages.ServerIncarnation,
         running: Iterable[tuple[quarantine.Fingerprint, ...]],
+        started_at: StartTimes | None = None,
     ) -> RunningRequests:
         """Return what has run since the first request of this crash broke.
 
         The first one to break may have had another reason.
         """
         now = self._clock()
-        if now >= self._window_end or server != self._window_server:
-            self._window_end = now + CRASH_WINDOW_S
-            self._window_server = server
+        if not self._window.is_open(server, now):
+            self._window.open(server, now)
             self._reported = None
-            self._running_at_crash = frozenset()
-        self._running_at_crash |= frozenset(running)
-        return self._running_at_crash
+        self._window.add(running, started_at or {})
+        return self._window.running
+
+    def unreported(
+        self, server: messages.ServerIncarnation
+    ) -> RunningRequests:
+        """Return what ran when connections to a server broke just now.
+
+        Returns nothing once a crash of it was reported.
+        """
+        is_open = self._window.is_open(server, self._clock())
+        if self._reported is not None or not is_open:
+            return frozenset()
+        return self._window.running
+
+    async def wait_reported(self) -> None:
+        """Wait until the latest crash has been reported, if it hasn't."""
+        if self._reported is not None:
+            await self._reported.wait()
 
     async def report_crash(
         self,
@@ -150,12 +160,18 @@
             beside=len(running_at_crash),
             alone=is_exclusive,
         )
+        fingerprints = sorted(set(itertools.chain(*running_at_crash)))
+        now, started_at = self._clock(), self._window.started_at
         try:
             await self._broadcast(
                 messages.CrashReport(
                     crash,
-                    sorted(set(itertools.chain(*running_at_crash))),
+                    fingerprints,
                     int(remaining_s * 1000),
+                    ran_ms=[
+                        int((now - started_at.get(digest, now)) * 1000)
+                        for digest in fingerprints
+                    ],
                 )
             )
         finally:
@@ -187,7 +203,11 @@
             return
         if self.max_crashes is not None:
             self.quarantine.count_crashes(
-                fingerprints, now, self.max_crashes, report.remaining_ms / 1000
+                fingerprints,
+                now,
+                self.max_crashes,
+                report.remaining_ms / 1000,
+                _start_times(report, now),
             )
         elif len(fingerprints) == 1 and report.remaining_ms:
             until = now + report.remaining_ms / 1000
@@ -257,18 +277,14 @@
             await self.broadcast(report)
 
 
-async def is_server_gone(pool: backend_client.Pool | None) -> bool:
-    """Return whether a server refuses connections."""
-    for _ in range(PROBE_COUNT):
-        if pool is None:
-            return True
-        try:
-            conn = await pool.open()
-        except backend_client.BackendError:
-            return True
-        conn.close()
-        await anyio.sleep(PROBE_INTERVAL_S)
-    return False
+def _start_times(report: messages.CrashReport, now: float) -> StartTimes:
+    """Return when requests started; older nodes do not state it."""
+    return {
+        quarantine.Fingerprint(digest): now - ran_ms / 1000
+        for digest, ran_ms in zip(
+            report.fingerprints, report.ran_ms or [], strict=False
+        )
+    }
 
 
 async def _broadcast_to_nobody(report: messages.CrashReport) -> None:
--- a/jayflow/request/decisions/quarantine.py
+++ b/jayflow/request/decisions/quarantine.py
@@ -16,10 +16,12 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import enum
 import hashlib
 import itertools
+import math
 from typing import NewType
 
 from jayflow.connection import messages
@@ -45,6 +47,7 @@
     state: QuarantineState
     expires_at: float
     crashes: int = 0
+    counted_at: float = -math.inf
 
 
 def fingerprint(
@@ -119,19 +122,32 @@
         now: float,
         max_crashes: int,
         quarantine_s: float,
+        started_at: Mapping[Fingerprint, float] | None = None,
     ) -> None:
-        """Count a crash of each request; quarantine it at max_crashes."""
+        """Count a crash of each request; quarantine it at max_crashes.
+
+        Servers that end together say no more about a request than one of
+        them: a crash counts only if the request started after the latest one
+        that was counted.
+        """
         for digest in digests:
             record = self._records.get(digest)
-            crashes = 1
-            if record is not None and record.expires_at > now:
-                crashes += record.crashes
+            if record is None or record.expires_at <= now:
+                record = _Record(QuarantineState.FREE, now)
+            started = (started_at or {}).get(digest, math.inf)
+            if (
+                record.state is QuarantineState.QUARANTINED
+                or started < record.counted_at
+            ):
+                continue
+            crashes = record.crashes + 1
             if crashes >= max_crashes:
                 self.add(digest, now + quarantine_s)
                 continue
             expires_at = now + SUSPECT_TTL_S
             self._put(
-                digest, _Record(QuarantineState.SUSPECT, expires_at, crashes)
+                digest,
+                _Record(QuarantineState.SUSPECT, expires_at, crashes, now),
             )
 
     def add(self, digest: Fingerprint, until: float) -> None:
--- a/jayflow/request/dispatch.py
+++ b/jayflow/request/dispatch.py
@@ -258,8 +258,12 @@
                 return
             except responses.ResponseDeadlineError:
                 raise
-            except responses.TruncatedResponseError:
-                if transfer is None or not req.is_idempotent:
+            except responses.TruncatedResponseError as exc:
+                if (
+                    transfer is None
+                    or not req.is_idempotent
+                    or not self._may_resume(req, exc.reason)
+                ):
                     raise
             finally:
                 response.close()
@@ -267,6 +271,16 @@
             sent_bytes += len(response.data)
             yield response.data, not response.is_complete
 
+    def _may_resume(self, req: caller_request.Request, reason: Reason) -> bool:
+        """Return whether a truncated transfer may be resumed.
+
+        One that crashed a server twice is left to its caller.
+        """
+        if reason is not Reason.SERVER_CRASHED:
+            return True
+        was_suspect, req.is_suspect = req.is_suspect, True
+        return not was_suspect
+
     async def _resume(
         self,
         req: caller_request.Request,
@@ -381,8 +395,8 @@
             return result
         except responses.ResponseDeadlineError:
             return outcome.Unknown(Reason.DEADLINE)
-        except responses.TruncatedResponseError:
-            return outcome.Unknown(Reason.RESPONSE_TRUNCATED)
+        except responses.TruncatedResponseError as exc:
+            return outcome.Unknown(exc.reason)
         finally:
             if result is None:
                 attempt.cancel()
--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -7,6 +7,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterator
 import math
 import time
 
@@ -21,6 +23,7 @@
 from jayflow import logs
 from jayflow import metrics as metrics_module
 from jayflow.request import backend_server
+from jayflow.request import crash_detector
 from jayflow.request import crash_tracker
 from jayflow.request.decisions import admission
 from jayflow.request.decisions import attempt_registry
@@ -28,7 +31,6 @@
 from jayflow.request import header_dialect
 from jayflow.request import job as jobs
 from jayflow.request import outcome
-from jayflow.version import objects
 
 Reason = outcome.Reason
 Reply = Callable[[messages.PeerReply], None]
@@ -105,6 +107,12 @@
             admission.AdmissionQueue(0)
         )
         self._jobs: dict[messages.AttemptId, jobs.Job] = {}
+        self._crash_detector = crash_detector.CrashDetector(
+            self.backend,
+            self.crash_tracker,
+            self._running_jobs,
+            self.remove_server,
+        )
         self._has_queued = asyncio.Event()
         self._running: set[messages.AttemptId] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -325,9 +333,7 @@
         job.link_budget = self.link_budget_for(start.sender_data_centre)
         job.fingerprints = fingerprints
         job.is_suspect = bool(fingerprints) and (
-            start.suspect
-            or self.crash_tracker.state_of(fingerprints)
-            is quarantine.QuarantineState.SUSPECT
+            start.suspect or self._is_suspect(fingerprints)
         )
         job.is_exclusive = (
             job.is_suspect and self.crash_tracker.max_crashes is None
@@ -350,6 +356,12 @@
         state = self.crash_tracker.state_of(fingerprints)
         return state is quarantine.QuarantineState.QUARANTINED
 
+    def _is_suspect(
+        self, fingerprints: tuple[quarantine.Fingerprint, ...]
+    ) -> bool:
+        state = self.crash_tracker.state_of(fingerprints)
+        return state is quarantine.QuarantineState.SUSPECT
+
     def _reason_to_refuse(self, start: messages.Start) -> Reason | None:
         if self.is_stopping:
             return Reason.NODE_STOPPING
@@ -423,9 +435,15 @@
 
     def _spawn(self, job: jobs.Job) -> None:
         """Run a job in a plain task; a task group costs more per call."""
-        job.task = asyncio.get_running_loop().create_task(self._serve(job))
-        self._tasks.add(job.task)
-        job.task.add_done_callback(self._tasks.discard)
+        job.task = self._start_task(self._serve(job))
+
+    def _start_task(
+        self, coroutine: Coroutine[None, None, object]
+    ) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _serve(self, job: jobs.Job) -> None:
         start, started_at = job.start, self._clock()
@@ -440,6 +458,8 @@
         except asyncio.CancelledError:
             if job.cancelled is None:
                 raise
+            if job.is_started:
+                self._crash_detector.record_cancelled(job)
         finally:
             now = self._clock()
             self._running.discard(start.attempt)
@@ -498,7 +518,7 @@
             self._send_refusal(start, exc.reason, job.reply)
             job.is_closed = True
             if exc.reason is Reason.WRONG_INSTANCE:
-                self._remove_server_of(job)
+                self._crash_detector.remove_server_of(job)
         except backend_client.BackendError as exc:
             conn.prevent_reuse()
             await self._report_failure(job, exc)
@@ -530,8 +550,9 @@
             try:
                 conn = await self.backend.acquire_connection(job)
             except backend_client.BackendError:
+                await self._crash_detector.handle_unreachable(job)
                 self._refuse(job.start, Reason.SERVER_UNREACHABLE, job.reply)
-                self._remove_server_of(job)
+                self._crash_detector.remove_server_of(job)
                 return None
             if self.backend.can_run(job):
                 return conn
@@ -544,6 +565,7 @@
         self, job: jobs.Job, conn: backend_client.Connection
     ) -> None:
         job.server_headers = self.dialect.server_headers(job.server.instance)
+        job.conn = conn
 
         def check_head(status: int, headers: messages.Headers) -> None:
             self._check_head(job, status, headers)
@@ -552,8 +574,13 @@
             return self._load_for(job)
 
         await job.exchange(conn, check_head, load)
-        # A server that fails may not have come to what crashes others.
-        if job.is_suspect and not header_dialect.is_server_error(conn.status):
+        if conn.was_ended_by_close:
+            # The end of the server would have looked the same.
+            self._start_task(self._crash_detector.check(job))
+        elif header_dialect.is_server_error(conn.status):
+            # The server may not have come to what crashes others.
+            pass
+        elif job.is_suspect or self._is_suspect(job.fingerprints):
             await self.crash_tracker.report_cleared(job.fingerprints)
 
     def _check_head(
@@ -603,21 +630,10 @@
         self, job: jobs.Job, exc: backend_client.BackendError
     ) -> None:
         reason = Reason.SERVER_BROKEN
-        if (
-            exc.fault is backend_client.ConnectionFault.CLOSED
-            and not job.head_received_at
-            and self.backend.incarnation == job.server
-        ):
-            running_requests = self.crash_tracker.running_at_crash(
-                job.server, self._running_fingerprints(job.server)
-            )
-            if await crash_tracker.is_server_gone(self.backend.pool):
-                reason = Reason.SERVER_CRASHED
-                self._remove_server_of(job)
-                service = objects.ServiceName(job.start.service)
-                await self.crash_tracker.report_crash(
-                    service, running_requests, job.is_exclusive
-                )
+        if exc.fault is not backend_client.ConnectionFault.CLOSED:
+            self._crash_detector.record_broken(job)
+        elif exc.sent and await self._crash_detector.check(job):
+            reason = Reason.SERVER_CRASHED
         self._metrics.count_refusal(reason)
         self._log.info(
             'Server gave no complete response.',
@@ -630,16 +646,12 @@
         )
         job.end(messages.AttemptFailed, reason, self.load())
 
-    def _running_fingerprints(
-        self, server: messages.ServerIncarnation
-    ) -> list[tuple[quarantine.Fingerprint, ...]]:
-        return [
-            job.fingerprints
+    def _running_jobs(self) -> Iterator[jobs.Job]:
+        return (
+            self._jobs[attempt]
             for attempt in self._running
-            if (job := self._jobs.get(attempt))
-            and job.fingerprints
-            and job.server == server
-        ]
+            if attempt in self._jobs
+        )
 
     def _start_queued(self) -> None:
         while queued_request := self._admission_queue.start_next(
@@ -692,11 +704,6 @@
             job = self._jobs.pop(attempt)
             self._refuse(job.start, Reason.NOT_SERVED_HERE, job.reply)
 
-    def _remove_server_of(self, job: jobs.Job) -> None:
-        """Drop the server of a job unless another one has replaced it."""
-        if self.backend.incarnation == job.server:
-            self.remove_server()
-
     def _resize(self) -> None:
         self._admission_queue.resize(
             self.backend.slots,
--- a/jayflow/request/job.py
+++ b/jayflow/request/job.py
@@ -54,6 +54,7 @@
         self.cancelled: outcome.Reason | None = None
         self.task: asyncio.Task | None = None
         self.pool: backend_client.Pool | None = None
+        self.conn: backend_client.Connection | None = None
         self.link_budget: link_budget.LinkBudget | None = None
         self.received_at = now
         self.sent_at = now
@@ -70,6 +71,15 @@
         self._next_seq = 0
         self._changed = anyio.Event()
 
+    @property
+    def has_whole_response(self) -> bool:
+        """Return whether the server has ended its response."""
+        return (
+            self.conn is not None
+            and self.conn.is_complete
+            and not self.conn.was_ended_by_close
+        )
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the deadline passed or the transfer has stalled."""
         if self.head_received_at is None or self.start.bounds_response:
--- a/jayflow/request/response.py
+++ b/jayflow/request/response.py
@@ -13,6 +13,7 @@
 from jayflow.connection import sockets
 from jayflow.request import exchange as exchanges
 from jayflow.request import headers as http_headers
+from jayflow.request import outcome
 
 PART_TIMEOUT_S = 30.0
 LOST_CONNECTION_TIMEOUT_S = 1.0
@@ -24,6 +25,14 @@
 class TruncatedResponseError(Exception):
     """Report that the remaining parts of a response will not arrive."""
 
+    reason = outcome.Reason.RESPONSE_TRUNCATED
+
+
+class ServerCrashedError(TruncatedResponseError):
+    """Report that the server crashed before the last part."""
+
+    reason = outcome.Reason.SERVER_CRASHED
+
 
 class ResponseDeadlineError(TruncatedResponseError):
     """Report that the deadline passed before the last part arrived."""
@@ -121,6 +130,10 @@
                     timeout_s = LOST_CONNECTION_TIMEOUT_S
                 case messages.ResponsePart() if message.seq <= self._last_seq:
                     pass
+                case messages.AttemptFailed(
+                    reason=outcome.Reason.SERVER_CRASHED.value
+                ):
+                    raise ServerCrashedError
                 case _:
                     raise TruncatedResponseError
 
--- a/tests/request/test_replaced_server.py
+++ b/tests/request/test_replaced_server.py
@@ -15,6 +15,7 @@
 from jayflow.connection import messages
 from jayflow import metrics as metrics_module
 from jayflow.platform import headers as platform_headers
+from jayflow.request import crash_detector
 from jayflow.request import executor as executors
 from jayflow.request import outcome
 from tests.request import test_executor
@@ -241,7 +242,7 @@
         await self._wait_until(lambda: self.new.runs)
         tracker = self.executor.crash_tracker
         with mock.patch.object(
-            executors.crash_tracker,
+            crash_detector,
             'is_server_gone',
             mock.AsyncMock(return_value=True),
         ):
