Know evacuations before the first request after a start

Cause: only elected watchers read evacuations, 4.6 s after their start, or once they hear every member that the store names; one that is gone for good never answers. A node that had read nothing behaved as one that had read an empty list.

Change: a node that no peer has told what is evacuated lists it itself, 0.5 to 1 s after its start. An empty list has a position, so that peers can tell it from nothing heard. Until a node knows, it is not ready, and requests wait for up to 2 s, as for the first version, and are then refused as not run.

Evidence: test_evacuation_watch, test_evacuations and test_ingress; 22 cases failed on.

--- a/jayflow/platform/environment.py
+++ b/jayflow/platform/environment.py
@@ -23,10 +23,11 @@
 # slow hosts, and have heard from each other a second later.
 MEMBER_RELIST_DELAY_S = 4.0
 MEMBER_WATCH_DELAY_S = MEMBER_RELIST_DELAY_S + 1.0
-# Most nodes of a fleet that starts have heard of the watchers by then. After a
-# restart of all, nodes know each other from their first list and don't wait:
-# a standing evacuation must be known again within 5 s.
+# Most nodes of a fleet that starts have heard of the watchers by then.
 EVACUATION_WATCH_DELAY_S = MEMBER_RELIST_DELAY_S + 0.6
+# A node that joins has heard from its peers before that. After a restart of
+# all nodes, the first ones read a standing evacuation and tell the others.
+EVACUATION_FIRST_LIST_DELAY_S = 1.0
 
 METADATA_STORE = environment.Environment(
     dialect=headers.DIALECT,
@@ -46,13 +47,12 @@
             first_relist_delay_s=MEMBER_RELIST_DELAY_S,
             watch_delay_s=MEMBER_WATCH_DELAY_S,
         ),
-        # Nodes learn of evacuations from their peers as they subscribe. After
-        # a restart of all nodes the watchers read them within the 5 s that a
-        # change may take.
+        # Nodes learn of evacuations from their peers as they subscribe.
         environment.WatchedPrefix(
             evacuations.KEY_PREFIX,
             watch_delay_s=EVACUATION_WATCH_DELAY_S,
             watchers_only=True,
+            max_first_list_delay_s=EVACUATION_FIRST_LIST_DELAY_S,
         ),
     ),
     elects_watchers=True,
--- a/jayflow/process/environment.py
+++ b/jayflow/process/environment.py
@@ -42,7 +42,8 @@
     changes at once. A node that is not elected to watch lists the prefix
     again after first_relist_delay_s for the first time. No node watches
     within watch_delay_s of its first list. With watchers_only, other nodes
-    never list the prefix, and no node does within watch_delay_s of its start.
+    list the prefix once at most: if they have not heard from a peer what is
+    there half to all of max_first_list_delay_s after their start.
     """
 
     prefix: str
@@ -51,6 +52,7 @@
     first_relist_delay_s: float = platform_watchers.FIRST_RELIST_DELAY_S
     watch_delay_s: float = 0.0
     watchers_only: bool = False
+    max_first_list_delay_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/jayflow/process/evacuations.py
+++ b/jayflow/process/evacuations.py
@@ -53,12 +53,24 @@
     def __init__(self, metrics: metrics_module.Metrics) -> None:
         self.current = Knowledge()
         self.on_change: Callable[[], None] = lambda: None
+        # Called once, when it becomes known that nothing is evacuated.
+        self.on_known: Callable[[], None] = lambda: None
+        self._has_read = False
         self._read_at = Position()
         self._metrics = metrics
         self._log = logs.get_logger(logs.Component.PLATFORM)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the store or a peer has said what is evacuated.
+
+        No evacuated data centre is known only by a position.
+        """
+        return self._has_read or self.current.position > Position()
+
     def apply(self, read: api.Read) -> None:
         """Apply what a call to the store returned."""
+        was_known, self._has_read = self.is_known, True
         position = Position(read.era, read.revision)
         if position < max(self._read_at, self.current.position):
             return
@@ -74,14 +86,19 @@
         data_centres = tuple(sorted(names))
         if data_centres != self.current.data_centres:
             self._replace(Knowledge(position, data_centres), 'store')
+        elif not was_known:
+            self.current = Knowledge(position, data_centres)
+            self.on_known()
 
     def adopt(self, published: Knowledge) -> None:
         """Adopt what a peer published, if it is newer than what is known."""
-        own = self.current
+        own, was_known = self.current, self.is_known
         if published.position <= own.position:
             return
         if published.data_centres == own.data_centres:
             self.current = published
+            if not was_known:
+                self.on_known()
         elif published.position > self._read_at:
             self._replace(published, 'peer')
         else:
--- a/jayflow/process/node.py
+++ b/jayflow/process/node.py
@@ -217,6 +217,7 @@
             lambda: self._config_age.is_fresh(),
             lambda: self._config_age.may_lack_keys(),
             self._team_limits.acquire,
+            self._knows_evacuations,
         )
         self._platform = self._platform_at(cfg.calls_per_s)
         self._platform_pause = platform_pauses.shared_pause(
@@ -227,6 +228,8 @@
         self._watcher_checked_at = -math.inf
         self._evacuations = evacuations.Evacuations(self._metrics)
         self._evacuations.on_change = self._apply_evacuations
+        # Peers that have just started need to hear of it as well.
+        self._evacuations.on_known = lambda: self._publisher.publish()
         self._platform_watchers = [
             self._new_platform_watcher(watch)
             for watch in environment.watched_prefixes
@@ -443,11 +446,13 @@
             watch.first_relist_delay_s,
             watch.watch_delay_s,
             watch.watchers_only,
+            watch.max_first_list_delay_s,
         )
         if watch.watchers_only:
             platform_watcher.is_informed = self._directory.hears_all_peers
         if evacuations.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_read = self._evacuations.apply
+            platform_watcher.is_known = lambda: self._evacuations.is_known
         if members.KEY_PREFIX.startswith(watch.prefix):
             platform_watcher.on_listed = self._restore_record
             platform_watcher.is_informed = self._directory.hears_all_peers
@@ -608,7 +613,14 @@
         has_version = (
             self._active_version.current.number != snapshot.NO_VERSION
         )
-        return has_version and not self._ingress.is_stopping
+        return (
+            has_version
+            and self._knows_evacuations()
+            and not self._ingress.is_stopping
+        )
+
+    def _knows_evacuations(self) -> bool:
+        return not self._cfg.evacuations or self._evacuations.is_known
 
     def _new_retry_budget(self, share: float) -> retry.RetryBudget:
         burst = self._live.current.fleet_retry_burst
--- a/jayflow/process/platform_watcher.py
+++ b/jayflow/process/platform_watcher.py
@@ -70,8 +70,12 @@
         first_relist_delay_s: float = FIRST_RELIST_DELAY_S,
         watch_delay_s: float = 0.0,
         watchers_only: bool = False,
+        max_first_list_delay_s: float = 0.0,
     ) -> None:
         self._watchers_only = watchers_only
+        self._first_list_delay_s = rng.uniform(0.5, 1.0) * (
+            max_first_list_delay_s
+        )
         self._created_at = time.monotonic()
         self._watch_timeout_s = watch_timeout_s
         self._batch_delay_s = batch_delay_s
@@ -94,6 +98,8 @@
         # that a node that joined a running fleet needs no second list soon.
         self._may_postpone_list = True
         self.is_informed: Callable[[float], bool] = lambda now: False
+        # Whether what only watchers list is known, from them or from a peer.
+        self.is_known: Callable[[], bool] = lambda: True
         self.on_confirmed: Callable[[int | None, float], None] = (
             lambda stored_version, sent_at: None
         )
@@ -172,10 +178,13 @@
 
         After its first list a node waits for watch_delay_s before it watches,
         since it has not heard of the watchers yet. If only watchers list the
-        prefix, it waits for that long after its start.
+        prefix, it waits for that long after its start; a node that has not
+        heard from a peer what is there lists it once before.
         """
         if self._watchers_only:
             age_s = now - self._created_at
+            if not self.is_known():
+                return age_s >= self._first_list_delay_s
             may_watch = age_s >= self._watch_delay_s or self.is_informed(now)
             return may_watch and self.is_watcher(now)
         if self._listed_at < 0:
--- a/jayflow/request/ingress.py
+++ b/jayflow/request/ingress.py
@@ -77,7 +77,9 @@
         is_config_fresh: Callable[[], bool] = lambda: True,
         may_lack_keys: Callable[[], bool] = lambda: False,
         acquire_allowance: AcquireAllowance | None = None,
+        knows_evacuations: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._knows_evacuations = knows_evacuations
         self._is_config_fresh = is_config_fresh
         self._may_lack_keys = may_lack_keys
         self.planned_stop: planned_stop.PlannedStop | None = None
@@ -145,8 +147,8 @@
             await self._send_problem(outcome.Unknown(Reason.NODE_FAULT), send)
 
     async def _serve(self, scope, body: '_RequestBody', send) -> None:
-        if self._version().number == snapshot.NO_VERSION:
-            await self._wait_first_version()
+        if not self._is_informed():
+            await self._wait_informed()
         req_or_failure = self._build_request(scope, body)
         if not isinstance(req_or_failure, caller_request.Request):
             self._log.info(
@@ -214,13 +216,18 @@
             version=req.version,
         )
 
-    async def _wait_first_version(self) -> None:
-        """Wait a limited time for the first configuration.
+    def _is_informed(self) -> bool:
+        """Return whether the node knows what it may run, and where."""
+        has_version = self._version().number != snapshot.NO_VERSION
+        return has_version and self._knows_evacuations()
 
-        A node that has just started receives it soon.
+    async def _wait_informed(self) -> None:
+        """Wait a limited time for the first configuration and evacuations.
+
+        A node that has just started receives them soon.
         """
         with anyio.move_on_after(FIRST_VERSION_WAIT_S):
-            while self._version().number == snapshot.NO_VERSION:
+            while not self._is_informed():
                 await anyio.sleep(FIRST_VERSION_POLL_S)
 
     async def _run(
@@ -242,6 +249,8 @@
         version = self._version()
         if version.number == snapshot.NO_VERSION:
             return _never_sent(Reason.NO_CONFIGURATION)
+        if not self._knows_evacuations():
+            return _never_sent(Reason.EVACUATIONS_UNKNOWN)
         headers = scope['headers']
         if not http_headers.has_no_duplicates(
             headers, self._single_value_headers()
--- a/jayflow/request/outcome.py
+++ b/jayflow/request/outcome.py
@@ -36,6 +36,7 @@
     NO_TEAM = 'no_team'
     TEAM_LIMIT = 'team_limit'
     NO_CONFIGURATION = 'no_configuration'
+    EVACUATIONS_UNKNOWN = 'evacuations_unknown'
     STALE_CONFIGURATION = 'stale_configuration'
     NO_MEMBER = 'no_member'
     BODY_TOO_LARGE = 'body_too_large'
--- a/jayflow/request/problem.py
+++ b/jayflow/request/problem.py
@@ -39,6 +39,7 @@
 # suspended learns the age of its configuration within half a second.
 _RETRY_AFTER_BY_REASON_S = {
     Reason.NO_CONFIGURATION: 0.5,
+    Reason.EVACUATIONS_UNKNOWN: 0.5,
     Reason.STALE_CONFIGURATION: 0.25,
     Reason.NO_MEMBER: 0.5,
     Reason.EVACUATED: 0.5,
--- a/tests/process/test_evacuation_watch.py
+++ b/tests/process/test_evacuation_watch.py
@@ -125,6 +125,78 @@
                 self.assertLessEqual(len(store.calls), calls)
 
 
+# Title, when a peer tells what is evacuated, until when the store does not
+# answer, when to look, whether it is known then, and the lists until then.
+FIRST_LISTS = [
+    ('a peer tells at once', 0.2, 0, 2.0, True, 0),
+    ('too early for a list', 1e9, 0, 0.45, False, 0),
+    ('no peer tells', 1e9, 0, 1.05, True, 1),
+    ('no peer tells and nothing changes', 1e9, 0, 100, True, 1),
+    ('a peer tells later', 2.0, 0, 3, True, 1),
+    ('the store is silent', 1e9, 8.0, 7.9, False, 8),
+    ('the store answers again', 1e9, 8.0, 10, True, 10),
+    ('a peer tells while the store is silent', 3.0, 8.0, 100, True, 3),
+]
+
+
+class FirstListTest(virtual_time.VirtualTimeTestCase):
+    async def _start(self, store, known, told_at, silent_s, until):
+        metrics = metrics_module.Metrics()
+        watcher = platform_watchers.PlatformWatcher(
+            store,
+            member_directory.MemberDirectory(messages.NodeId('n1'), 'a'),
+            member_directory.ActiveVersion(metrics, lambda version: None),
+            metrics,
+            random.Random(1),
+            evacuations.KEY_PREFIX,
+            pause=_pause,
+            watch_delay_s=4.6,
+            watchers_only=True,
+            max_first_list_delay_s=1.0,
+        )
+        # Never elected, and one of its peers is gone for good.
+        watcher.is_watcher = lambda now: False
+        watcher.is_known = lambda: known.is_known
+        watcher.on_read = known.apply
+        store.silent_until = silent_s
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watcher.run)
+            if told_at < until:
+                await anyio.sleep(told_at)
+                known.adopt(test_evacuations.peer(3, 'a'))
+            await anyio.sleep(until - anyio.current_time())
+            tasks.cancel_scope.cancel()
+
+    def test_a_node_did_not_know_of_an_evacuation_until_its_peers_did(self):
+        for title, told_at, silent_s, until, is_known, lists in FIRST_LISTS:
+            with self.subTest(title):
+                store = SilentStore()
+                store.change(PUT, 'a')
+                known = evacuations.Evacuations(metrics_module.Metrics())
+                start = functools.partial(
+                    self._start, store, known, told_at, silent_s, until
+                )
+                self.run_virtual(lambda loop, start=start: start())
+                self.assertIs(is_known, known.is_known)
+                self.assertLessEqual(len(store.calls), lists)
+
+
+async def _pause(failures: int) -> None:
+    await anyio.sleep(1.0)
+
+
+class SilentStore(FakeStore):
+    """Fail all calls for a time."""
+
+    silent_until = 0.0
+
+    async def list(self, prefix):
+        listing = await super().list(prefix)
+        if anyio.current_time() < self.silent_until:
+            raise api.PlatformError('no answer')
+        return listing
+
+
 class CandidatesTest(unittest.TestCase):
     def test_a_server_of_an_evacuated_data_centre_is_no_candidate(self):
         large = subset.FULL_MESH_MAX_NODES + 10
