Do not wait for members that were never heard to hear of a crash

What callers saw: after a restart, a request that had broken in a crash was answered or tried again up to 1 s late while the store still named a member whose host is gone for good.

Cause: the report of a crash waited for acknowledgements of all members but those that had fallen silent.

Change: only members that are heard, or too new for that, are waited for, as where requests are routed.

Evidence: test_crash_broadcast; the case of a member that is gone failed on with a wait of 1 s.

--- a/jayflow/process/crash_broadcast.py
+++ b/jayflow/process/crash_broadcast.py
@@ -73,7 +73,8 @@
         retry, has acknowledged the report of a crash. The other nodes are not
         waited for: they ask when their server starts. A report that clears
         suspects is only sent: until it arrives, they run alone. Nodes that
-        have been silent are left out; no requests are sent to them either.
+        have been silent are left out, also those that were never heard, whose
+        hosts may be gone for good; no requests are sent to them either.
         """
         now = time.monotonic()
         send = self._send_until_acknowledged if report.crash else self._send
@@ -81,7 +82,7 @@
             for view in related_peers(
                 self._node, self._backend.services, self._directory
             ):
-                if view.is_silent(now):
+                if not view.is_heard(now):
                     continue
                 if any(map(view.member.accepts, self._backend.services)):
                     tasks.start_soon(send, view, report)
--- a/tests/process/test_crash_broadcast.py
+++ b/tests/process/test_crash_broadcast.py
@@ -29,6 +29,12 @@
 ]
 
 
+# Title, for how long a member that was never heard has been known, and the
+# wait for it.
+UNHEARD_CASES = [
+    ('has just become known', 0.0, crash_tracker.BROADCAST_TIMEOUT_S),
+    ('is gone for good', 60.0, 0.0),
+]
 # Title, services of a member that acknowledges nothing, and the wait for it.
 WAIT_CASES = [
     (
@@ -88,7 +94,7 @@
 
 
 class CrashBroadcastTest(virtual_time.VirtualTimeTestCase):
-    async def _report(self, loop, delays, services=(SERVICE,)):
+    async def _report(self, loop, delays, services=(SERVICE,), known_s=0.0):
         """Report a crash; return the time taken and the peer."""
         peer = FakePeer(delays, loop)
         table = exchanges.ExchangeTable(
@@ -101,6 +107,8 @@
         directory.put(
             test_member_directory.member('n2', 'a', services=services)
         )
+        view = directory.peer_view(messages.NodeId('n2'))
+        view.known_since -= known_s
         tracker = crash_tracker.CrashTracker(
             metrics_module.Metrics(), loop.time, 2
         )
@@ -135,6 +143,16 @@
                     state = peer.tracker.quarantine.state_of(DIGEST, 0.0)
                     self.assertIs(quarantine.QuarantineState.SUSPECT, state)
 
+    def test_a_crash_was_told_late_because_of_a_member_that_is_gone(self):
+        for title, known_s, expected_s in UNHEARD_CASES:
+            with self.subTest(title):
+                elapsed_s, _ = self.run_virtual(
+                    lambda loop, known_s=known_s: self._report(
+                        loop, [None], known_s=known_s
+                    )
+                )
+                self.assertAlmostEqual(expected_s, elapsed_s, delta=0.01)
+
     def test_a_node_whose_server_is_down_hears_of_later_crashes(self):
         async def main(loop, services, is_draining, others):
             peer = FakePeer([0.0], loop)
