Do not quarantine what ran before a suspect that found no server

What callers saw: nothing yet; found while reading the change. Without crash-strikes, a suspect that may only run alone and is refused a connection would have reported the crash shown by an earlier request as one of its own, and that request would have been quarantined at once.

Change: a crash that shows as a refused connection never counts as one of a request that ran alone.

Evidence: the case with max_crashes None in test_crash_stages failed before, with the earlier request quarantined.

--- a/jayflow/request/crash_detector.py
+++ b/jayflow/request/crash_detector.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import operator
 import time
 
 import anyio
@@ -47,7 +48,7 @@
         running = self.record_broken(job)
         if not await self._is_gone(job):
             return False
-        await self._report(job, running)
+        await self._report(job, running, job.is_exclusive)
         return True
 
     def record_broken(self, job: jobs.Job) -> crash_tracker.RunningRequests:
@@ -58,7 +59,9 @@
         running_jobs = self._running_beside(job)
         started_at = {
             digest: running_job.sent_at
-            for running_job in sorted(running_jobs, key=_sent_at_of)
+            for running_job in sorted(
+                running_jobs, key=operator.attrgetter('sent_at')
+            )
             for digest in running_job.fingerprints
         }
         return self._tracker.running_at_crash(
@@ -82,7 +85,8 @@
         The probes of a request that broke may have come before the end.
         """
         if broken := self._tracker.unreported(job.server):
-            await self._report(job, broken)
+            # What broke did not run alone, whatever this request asks for.
+            await self._report(job, broken, is_exclusive=False)
 
     def remove_server_of(self, job: jobs.Job) -> None:
         """Drop the server of a job unless another one has replaced it."""
@@ -90,7 +94,10 @@
             self._remove_server()
 
     async def _report(
-        self, job: jobs.Job, running: crash_tracker.RunningRequests
+        self,
+        job: jobs.Job,
+        running: crash_tracker.RunningRequests,
+        is_exclusive: bool,
     ) -> None:
         self.remove_server_of(job)
         if job.server == self._crashed and job.sent_at < self._crashed_at:
@@ -99,7 +106,7 @@
             return
         self._crashed, self._crashed_at = job.server, time.monotonic()
         service = objects.ServiceName(job.start.service)
-        await self._tracker.report_crash(service, running, job.is_exclusive)
+        await self._tracker.report_crash(service, running, is_exclusive)
 
     async def _is_gone(self, job: jobs.Job) -> bool:
         """Return whether a server was replaced or refuses connections."""
@@ -120,10 +127,6 @@
         return [job for job in [broken_job, *running_jobs] if job.fingerprints]
 
 
-def _sent_at_of(job: jobs.Job) -> float:
-    return job.sent_at
-
-
 async def is_server_gone(pool: backend_client.Pool | None) -> bool:
     """Return whether a server refuses connections."""
     for _ in range(PROBE_COUNT):
--- a/tests/request/test_crash_stages.py
+++ b/tests/request/test_crash_stages.py
@@ -97,12 +97,12 @@
 
 
 class CrashStagesTest(unittest.IsolatedAsyncioTestCase):
-    def _new_executor(self) -> executors.Executor:
+    def _new_executor(self, max_crashes=MAX_CRASHES) -> executors.Executor:
         return executors.Executor(
             test_executor.INCARNATION,
             metrics_module.Metrics(),
             dialect=platform_headers.DIALECT,
-            max_crashes=MAX_CRASHES,
+            max_crashes=max_crashes,
         )
 
     async def _announce(self, executor, server, count: int = 0) -> None:
@@ -218,27 +218,35 @@
                 )
 
     async def test_a_crash_after_bytes_that_are_no_response_was_missed(self):
-        executor, server = self._new_executor(), Server(b'\0garbage\r\n')
-        server.may_end.clear()
-        await self._announce(executor, server)
-        replies = self._send(executor, 1)
-        await self._wait_until(lambda: replies)
-        server.listener.close()
-        server.may_end.set()
-        await server.listener.wait_closed()
-        replies = self._send(executor, 2, BYSTANDER)
-        await self._wait_until(lambda: replies)
-        self.assertEqual(
-            outcome.Reason.SERVER_UNREACHABLE.value, replies[0].reason
-        )
-        self.assertIs(
-            quarantine.QuarantineState.SUSPECT,
-            executor.crash_tracker.state_of([CULPRIT]),
-        )
-        self.assertIs(
-            quarantine.QuarantineState.FREE,
-            executor.crash_tracker.state_of([BYSTANDER]),
-        )
+        """Let the next request find the server gone, also a suspect."""
+        for max_crashes, is_suspect in ((MAX_CRASHES, False), (None, True)):
+            with self.subTest(max_crashes=max_crashes):
+                executor = self._new_executor(max_crashes)
+                server = Server(b'\0garbage\r\n')
+                server.may_end.clear()
+                await self._announce(executor, server)
+                replies = self._send(executor, 1)
+                await self._wait_until(lambda replies=replies: replies)
+                server.listener.close()
+                server.may_end.set()
+                await server.listener.wait_closed()
+                replies = self._send(
+                    executor, 2, BYSTANDER, suspect=is_suspect
+                )
+                await self._wait_until(lambda replies=replies: replies)
+                self.assertEqual(
+                    outcome.Reason.SERVER_UNREACHABLE.value, replies[0].reason
+                )
+                self.assertEqual(
+                    [
+                        quarantine.QuarantineState.SUSPECT,
+                        quarantine.QuarantineState.FREE,
+                    ],
+                    [
+                        executor.crash_tracker.state_of([digest])
+                        for digest in (CULPRIT, BYSTANDER)
+                    ],
+                )
 
     async def test_a_request_whose_caller_left_was_not_counted(self):
         executor, server = self._new_executor(), Server(LENGTH)
