Clear a suspect whose response has no length and ends well

What callers saw: nothing yet; found while reading the change. A suspect whose response ends with its connection was not cleared any more, since its end alone does not show that the server lives, so that sound requests of such a service would have counted up to a refusal.

Change: it is cleared once the probes after its end find the server. The test of requests that were running in a crash lets one request run through it, as its name says, and has this case as well; it failed before.

--- a/jayflow/request/executor.py
+++ b/jayflow/request/executor.py
@@ -575,12 +575,20 @@
 
         await job.exchange(conn, check_head, load)
         if conn.was_ended_by_close:
-            # The end of the server would have looked the same.
-            self._start_task(self._crash_detector.check(job))
-        elif header_dialect.is_server_error(conn.status):
-            # The server may not have come to what crashes others.
-            pass
-        elif job.is_suspect or self._is_suspect(job.fingerprints):
+            self._start_task(self._check_end(job, conn.status))
+        else:
+            await self._clear_suspect(job, conn.status)
+
+    async def _check_end(self, job: jobs.Job, status: int) -> None:
+        """Find out whether a response ended because its server did."""
+        if not await self._crash_detector.check(job):
+            await self._clear_suspect(job, status)
+
+    async def _clear_suspect(self, job: jobs.Job, status: int) -> None:
+        # A server that fails may not have come to what crashes others.
+        if header_dialect.is_server_error(status):
+            return
+        if job.is_suspect or self._is_suspect(job.fingerprints):
             await self.crash_tracker.report_cleared(job.fingerprints)
 
     def _check_head(
--- a/tests/request/test_crash_stages.py
+++ b/tests/request/test_crash_stages.py
@@ -66,6 +66,7 @@
 
     def __init__(self, sent: bytes) -> None:
         self.sent = sent
+        self.sent_late = b''
         self.runs = 0
         self.lives = False
         self.may_end = asyncio.Event()
@@ -83,6 +84,7 @@
             self.runs += 1
             writer.write(self.sent)
             await self.may_end.wait()
+            writer.write(self.sent_late)
             await writer.drain()
         except (
             asyncio.IncompleteReadError,
@@ -194,11 +196,20 @@
 
     async def test_a_request_stayed_suspect_that_was_running_in_a_crash(self):
         """Let it end on one server after it was cut off on another."""
-        for status, expected in (
-            (b'200 OK', quarantine.QuarantineState.FREE),
-            (b'500 X', quarantine.QuarantineState.SUSPECT),
+        for title, sent, expected in (
+            ('a success', WHOLE, quarantine.QuarantineState.FREE),
+            (
+                'a success without a length',
+                STAGES[-1][1],
+                quarantine.QuarantineState.FREE,
+            ),
+            (
+                'an error of the server',
+                WHOLE.replace(b'200 OK', b'500 X'),
+                quarantine.QuarantineState.SUSPECT,
+            ),
         ):
-            with self.subTest(status):
+            with self.subTest(title):
                 executor = self._new_executor()
                 server = Server(b'')
                 server.lives = True
@@ -209,10 +220,11 @@
                 executor.crash_tracker.handle_report(
                     messages.CrashReport('c1', [BYSTANDER], 5000, ran_ms=[100])
                 )
-                executor.backend.pool.close()
-                server.sent = WHOLE.replace(b'200 OK', status)
-                replies = self._send(executor, 2, BYSTANDER)
+                server.sent_late = sent
+                server.may_end.set()
                 await self._wait_until(lambda replies=replies: replies)
+                # A response without a length is checked after its end.
+                await anyio.sleep(0.1)
                 self.assertIs(
                     expected, executor.crash_tracker.state_of([BYSTANDER])
                 )
